--- /dev/null
+++ b/decide/decide.go
@@ -0,0 +1,869 @@
+// Package decide routes txns over groups of a primary and its replicas.
+//
+// How it is called: New once with the settings; then, for each round, Clock with the time, then any of Arrived, Ended,
+// Probed, Withdrawn, Listed with ListEnds, and ListFailed, which only update what is known; then Next until it says
+// there is no more. A Wake decision asks for one more round. The types of that interface are in interface.go, what is
+// read of the settings in site.go, helpers in state.go. docs/design.md tells what is kept of the design and what not.
+package decide
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+)
+
+// Starting values, ours unless a source is named. Times are in nanoseconds, shares and factors have no unit.
+const (
+	waitSpan     = 150 * Millisecond  // step 4: a tokened read waits this long on replicas (the post's MAX_WAIT_MS)
+	pulse        = 5 * Millisecond    // how often open txns are looked at; a few ticks at the coarsest
+	boundMargin  = 0.1                // of a bound, kept in hand for the way to the replica and the clock's steps
+	holdPart     = 20                 // a write without a primary holds this part of its time between miss rounds
+	fadeLatency  = 2000 * Millisecond // memory of a member's speed: long against one answer, short against a trouble
+	fadeClass    = 5000 * Millisecond // memory of a txn type's service time: steadier than any one member
+	silentMeans  = 6.0                // a member whose answers are overdue by this many means is suspect: e^-6 by chance
+	silentLeast  = 2.0                // nor is it before this many mean latencies have passed without any answer
+	trialFirst   = 250 * Millisecond  // a suspect gets a trial read after this span, doubled each time it fails
+	trialLast    = 2000 * Millisecond // up to this one, so that a member that came back is not left idle for long
+	limitStart   = 8.0                // first limit on what is in flight to a member: a few cores' worth
+	limitCut     = 0.8                // share left when a member answers too late for the SLA time
+	lateShare    = 0.5                // of the SLA time: a mean latency above it cuts the limit
+	hopeless     = 1.2                // service times that must be left for a txn to be worth sending
+	rescueMeans  = 2.0                // service times after which a read on a suspect is taken elsewhere
+	copyMeans    = 4.0                // service times after which a read on a healthy member gets a second copy
+	copyShare    = 0.05               // second copies for each submission, at most
+	farPenalty   = 1.15               // a member in another zone must be this much less loaded to be preferred
+	askFirst     = 250 * Millisecond  // list calls that fail are made again after this span, doubled and jittered
+	reportAge    = 1000 * Millisecond // an answer's word on a role outweighs a report's for this long
+	scanDepth    = 64                 // waiting txns of a type looked at in a round: bounds the work in a jam
+	longestQuiet = 1000 * Millisecond // a suspect back after longer starts again with a small limit
+)
+
+const (
+	roleUnknown = iota
+	rolePrimary
+	roleReplica
+)
+
+// member is what this gateway knows of one database server.
+type member struct {
+	id                        Server
+	zone, kind                int
+	group                     *group
+	ready, drained, barred    bool // barred: told that it drains or is gone
+	startedAt                 Nanos
+	position, lag             Nanos // proven position; how far behind it was when last heard of
+	role                      int
+	roleAt                    Nanos // when an answer told the role last
+	named                     bool  // the list says that it is the primary
+	out                       int   // submissions in flight from here
+	limit                     float64
+	elapsed, slow, late, ends decaying // sums over answers: latency, latency in service times, in SLA times; count
+	sent                      decaying // service time sent within the span of the rule on cold members
+	quietSince, grownAt       Nanos
+	suspect                   bool
+	suspectAt, trialAt, trial Nanos
+}
+
+// group is one primary, its replicas and the txns that wait for them.
+type group struct {
+	id      int
+	members []*member
+	waiting [][]*txn // by txn type, in order of arrival
+	scout   *txn     // the write that is trying members in turn
+	primary *member  // as last logged
+}
+
+// submission is one try of a txn at a member.
+type submission struct {
+	to        *member
+	at        Nanos
+	over, ran bool // ran: it ended and may have had an effect
+	cancelled bool
+}
+
+// txn is one request of a client, kept until it is answered and its submissions are over.
+type txn struct {
+	id                           uint64
+	class, tenant                int
+	group                        *group
+	session                      uint64
+	token                        Nanos // position that a read must see; 0 is none
+	arrived, aim, expiry, budget Nanos
+	subs                         []submission
+	out                          int
+	waiting, done                bool
+	ranAt                        Nanos // sending of the first submission that may have run
+	waitFrom                     Nanos // step 4's wait began; 0 is not yet
+	passed                       bool  // step 5: the wait is over, only the primary will do
+	pauseTo                      Nanos
+}
+
+// Gateway is one instance of the module.
+type Gateway struct {
+	site     *site
+	now      Nanos
+	rng      pcg
+	members  map[Server]*member
+	order    []*member
+	groups   []*group
+	txns     map[uint64]*txn
+	open     []*txn
+	service  []struct{ sum, n decaying } // by txn type: latency of what was committed
+	ranking  []int                       // txn types, most value for each unit of service time first
+	tokens   map[uint64]Nanos            // last commits of sessions, where they are kept here
+	sends    decaying
+	copies   decaying
+	listed   map[Server]bool
+	lines    []string
+	stage    int
+	cursor   int
+	reviewAt Nanos
+	wakeAt   Nanos
+	follows  bool
+	askAt    Nanos
+	askSpan  Nanos
+	shedding bool
+	shed     decaying
+}
+
+// New reads the settings and returns an instance that knows nothing else.
+func New(seed uint64, settings []byte) (*Gateway, error) {
+	s, err := readSite(settings)
+	if err != nil {
+		return nil, err
+	}
+	g := &Gateway{site: s, rng: newPCG(seed), members: map[Server]*member{}, txns: map[uint64]*txn{},
+		tokens: map[uint64]Nanos{}, listed: map[Server]bool{}, askSpan: askFirst}
+	g.service = make([]struct{ sum, n decaying }, len(s.Classes))
+	for i := range s.Classes {
+		g.ranking = append(g.ranking, i)
+	}
+	return g, nil
+}
+
+// Clock begins a round.
+func (g *Gateway) Clock(now Nanos) { g.now, g.stage, g.cursor = now, 0, 0 }
+
+// Arrived takes a txn. age is that of its session's last write, 0 for none or not told.
+func (g *Gateway) Arrived(id uint64, class, tenant int, session uint64, budget, work Nanos, grp int, age Nanos) error {
+	if class >= len(g.site.Classes) {
+		return fmt.Errorf("txn type %d is not in the settings", class)
+	}
+	c := &g.site.Classes[class]
+	t := &txn{id: id, class: class, tenant: tenant, group: g.groupOf(grp), session: session, arrived: g.now,
+		budget: budget, expiry: g.now + budget, waiting: true}
+	t.aim = min(g.now+c.Aim+Nanos(c.AimStretch*float64(work)), t.expiry)
+	switch g.site.Family.Consistency[class] {
+	case "causal":
+		if age > 0 {
+			t.token = g.now - age
+		} else if at, ok := g.tokens[session]; ok && session != 0 {
+			t.token = at
+			if t.group.passed(at) {
+				delete(g.tokens, session) // step 2: every replica is known past it
+				t.token = 0
+			}
+		}
+	case "strong":
+		t.token = g.now
+	}
+	g.txns[id], g.open = t, append(g.open, t)
+	t.group.waiting[class] = append(t.group.waiting[class], t)
+	return nil
+}
+
+// Ended tells how a submission ended and what the member said of itself.
+func (g *Gateway) Ended(id uint64, no int, server Server, r Result, elapsed Nanos, note uint32, over bool,
+	report []float32) {
+	t, m := g.txns[id], g.members[server]
+	if t == nil || no >= len(t.subs) || t.subs[no].over || m == nil {
+		return
+	}
+	s := &t.subs[no]
+	s.over = true
+	t.out--
+	m.out--
+	g.heardNote(m, note)
+	g.heardReport(m, report)
+	switch r {
+	case Committed:
+		g.answered(m)
+		g.measured(m, t, elapsed)
+		if !t.done {
+			g.proven(t, s, m, note)
+		}
+		t.done = true
+	case Missed:
+		g.answered(m)
+		if t.token > 0 && note>>2 == 0 {
+			m.lag = max(m.lag, g.now-t.token)
+		}
+		// A read that was turned away has had its wait on a replica: step 5.
+		t.passed = true
+		t.pauseTo = g.now + t.budget/holdPart
+	case Full:
+		m.limit = max(1, min(m.limit, float64(m.out+1))*limitCut)
+		m.grownAt = g.now
+		t.pauseTo = g.now + pulse
+	case Unreachable:
+		g.suspects(m, "no connection")
+	case Failed:
+		g.answered(m)
+		s.ran = true
+	case TimedOut:
+		s.ran = true
+		if m.quietSince <= s.at {
+			g.suspects(m, "time-out without an answer since")
+		}
+	case Broken:
+		s.ran = true
+		g.suspects(m, "connection broken")
+	case Cancelled:
+		s.ran = true
+	}
+	if s.ran && (t.ranAt == 0 || s.at < t.ranAt) {
+		t.ranAt = s.at
+	}
+	if t.group.scout == t {
+		t.group.scout = nil
+	}
+	t.done = t.done || over
+	if t.done && t.out == 0 {
+		delete(g.txns, id)
+	}
+	if !t.done && !t.waiting && t.out == 0 {
+		g.queue(t)
+	}
+}
+
+// Probed tells what a probe found; a shallow answer shows a position and a role, where reports hold them, not health.
+func (g *Gateway) Probed(server Server, r Result, _ Nanos, report []float32) {
+	if m := g.members[server]; m != nil && r == Committed {
+		g.heardReport(m, report)
+	}
+}
+
+// Withdrawn tells that a txn's client is gone.
+func (g *Gateway) Withdrawn(id uint64) {
+	if t := g.txns[id]; t != nil {
+		t.done = true
+		if t.out == 0 {
+			delete(g.txns, id)
+		}
+	}
+}
+
+// Listed tells one entry of the list; ListEnds follows the last.
+func (g *Gateway) Listed(server Server, grp int, named bool, st Status, zone int, _ float64, kind int, start Nanos) {
+	m := g.members[server]
+	if m == nil {
+		m = &member{id: server, limit: limitStart}
+		g.members[server] = m
+	}
+	if m.group == nil || m.group.id != grp {
+		if m.group != nil {
+			m.group.members = slices.DeleteFunc(m.group.members, func(x *member) bool { return x == m })
+		}
+		m.group = g.groupOf(grp)
+		m.group.members = append(m.group.members, m)
+		slices.SortFunc(m.group.members, func(a, b *member) int { return bytes.Compare(a.id[:], b.id[:]) })
+	}
+	if start > m.startedAt {
+		// It runs anew, cold: what was measured of its last run tells nothing of this one.
+		m.startedAt, m.limit, m.suspect = start, 2, false
+		m.elapsed, m.slow, m.late, m.ends = decaying{}, decaying{}, decaying{}, decaying{}
+	}
+	m.zone, m.kind, m.named = zone, kind, named
+	m.drained = m.drained || st == Draining
+	m.ready = st == Ready
+	if m.ready {
+		m.drained = false
+	}
+	m.barred = g.bars(m)
+	g.listed[server] = true
+}
+
+// ListEnds closes an announcement: members that a whole list lacks are gone.
+func (g *Gateway) ListEnds(scope Scope) {
+	for _, m := range g.members {
+		if scope != Delta && !g.listed[m.id] {
+			m.ready, m.named = false, false
+			m.barred = g.bars(m)
+		}
+	}
+	clear(g.listed)
+	g.order = g.order[:0]
+	for _, grp := range g.groups {
+		g.order = append(g.order, grp.members...)
+	}
+	if scope == CachedList {
+		// All gateways may have started together: the first call is spread.
+		g.follows, g.askAt = false, g.now+Nanos(g.rng.unit()*float64(askFirst))
+		return
+	}
+	if !g.follows && g.site.MembershipMode == "ask" {
+		g.log("list followed, %d members", len(g.order))
+	}
+	g.follows, g.askSpan = true, askFirst
+}
+
+// ListFailed tells that a call for the list failed or that the subscription broke.
+func (g *Gateway) ListFailed() {
+	if g.follows {
+		g.log("list lost")
+	}
+	// Calls that failed are made again well within the time after which the rules deem an instance told.
+	g.follows, g.askAt = false, g.now+Nanos((0.5+g.rng.unit())*float64(g.askSpan))
+	g.askSpan = min(g.askSpan*2, g.site.Rules.AskWithin/4)
+}
+
+// bars tells whether a member may get nothing new. Where the list is no proof of what runs, only a seen drain bars.
+func (g *Gateway) bars(m *member) bool {
+	return !m.ready && (m.drained || !g.site.Rules.SoftRemoval)
+}
+
+func (g *Gateway) groupOf(id int) *group {
+	for _, grp := range g.groups {
+		if grp.id == id {
+			return grp
+		}
+	}
+	grp := &group{id: id, waiting: make([][]*txn, len(g.site.Classes))}
+	g.groups = append(g.groups, grp)
+	slices.SortFunc(g.groups, func(a, b *group) int { return a.id - b.id })
+	return grp
+}
+
+// passed tells whether every replica is known to have reached a position.
+func (grp *group) passed(at Nanos) bool {
+	for _, m := range grp.members {
+		if m.ready && m.role != rolePrimary && m.position < at {
+			return false
+		}
+	}
+	return true
+}
+
+// heardNote takes an answer's word on role and position.
+func (g *Gateway) heardNote(m *member, note uint32) {
+	if role := int(note & 3); role == rolePrimary || role == roleReplica {
+		m.role, m.roleAt = role, g.now
+		for _, o := range m.group.members {
+			// One primary at a time: the newest word wins, whichever way the other's answers are late.
+			if role == rolePrimary && o != m && o.role == rolePrimary {
+				o.role = roleUnknown
+			}
+		}
+	}
+	if at := Nanos(note>>2) * Millisecond; at > 0 {
+		g.reached(m, g.site.Family.Zero+at)
+		m.lag = g.now - (g.site.Family.Zero + at)
+	}
+}
+
+// heardReport takes a report's position, which holds though it is old, and its role where no answer is newer.
+func (g *Gateway) heardReport(m *member, report []float32) {
+	for i, field := range g.site.LoadReport.Fields {
+		if i >= len(report) {
+			return
+		}
+		switch field {
+		case "x0":
+			if report[i] > 0 {
+				// The figure is rounded to 24 bits: a microsecond in sixteen seconds, so a little is taken off.
+				at := g.site.Family.Zero + Millis(float64(report[i])*(1-1e-6)*1000)
+				g.reached(m, at)
+				m.lag = min(m.lag, g.now-at)
+			}
+		case "x1":
+			if g.now-m.roleAt > reportAge || m.role == roleUnknown {
+				if report[i] == 1 && m.role != rolePrimary {
+					g.heardNote(m, rolePrimary)
+					m.roleAt = 0
+				} else if report[i] != 1 {
+					m.role = roleReplica
+				}
+			}
+		}
+	}
+}
+
+// reached raises a proven position; one that was proven holds for good, through changes of role as well.
+func (g *Gateway) reached(m *member, at Nanos) { m.position = max(m.position, at) }
+
+// proven takes what a committed txn shows: a write its commit, a read that a replica checked its token or bound.
+func (g *Gateway) proven(t *txn, s *submission, m *member, note uint32) {
+	switch g.site.Family.Consistency[t.class] {
+	case "mutate":
+		if at := Nanos(note>>2) * Millisecond; at > 0 && t.session != 0 && g.site.Family.WriteMarks == "kept" {
+			g.tokens[t.session] = max(g.tokens[t.session], g.site.Family.Zero+at)
+		}
+		return
+	case "lag_bound":
+		if g.site.Family.WhenBehind != "none" {
+			g.reached(m, s.at-g.site.Family.Bound[t.class])
+		}
+	case "causal", "strong":
+		if g.site.Family.WhenBehind != "none" && t.token > 0 {
+			g.reached(m, t.token)
+			m.lag = min(m.lag, g.now-t.token)
+		}
+	}
+}
+
+// answered notes a sign of life: any answer clears suspicion, whatever raised it.
+func (g *Gateway) answered(m *member) {
+	m.quietSince = g.now
+	if m.suspect {
+		if g.now-m.suspectAt > longestQuiet {
+			m.limit = 2
+			g.log("member %v answers again after %d ms", m.id, (g.now-m.suspectAt)/Millisecond)
+		}
+		m.suspect, m.trial = false, 0
+	}
+}
+
+// suspects takes a member out of the ordinary choice until it answers; it keeps getting trials.
+func (g *Gateway) suspects(m *member, why string) {
+	if m.suspect {
+		return
+	}
+	m.suspect, m.suspectAt, m.trial = true, g.now, trialFirst
+	m.trialAt = g.now + m.trial
+	g.log("member %v suspect: %s, %d in flight, quiet for %d ms", m.id, why, m.out, (g.now-m.quietSince)/Millisecond)
+}
+
+// measured takes a committed submission's latency and moves the member's limit: one up, or down by a share.
+func (g *Gateway) measured(m *member, t *txn, elapsed Nanos) {
+	x := float64(elapsed)
+	m.slow.add(g.now, fadeLatency, x/g.expected(t.class))
+	m.late.add(g.now, fadeLatency, x/float64(g.site.Classes[t.class].Aim))
+	m.elapsed.add(g.now, fadeLatency, x)
+	m.ends.add(g.now, fadeLatency, 1)
+	g.service[t.class].sum.add(g.now, fadeClass, x)
+	g.service[t.class].n.add(g.now, fadeClass, 1)
+	if g.now-m.grownAt < Nanos(g.meanLatency(m)) {
+		return
+	}
+	switch {
+	case m.late.read(g.now, fadeLatency) > lateShare*m.ends.read(g.now, fadeLatency):
+		m.limit, m.grownAt = max(1, min(m.limit, float64(m.out+1))*limitCut), g.now
+	case float64(m.out+2) > m.limit:
+		m.limit, m.grownAt = m.limit+1, g.now
+	}
+}
+
+// expected is a txn type's service time of late, a quarter of its SLA time before any is known.
+func (g *Gateway) expected(class int) float64 {
+	s, guess := &g.service[class], float64(g.site.Classes[class].Aim)/4
+	return (s.sum.read(g.now, fadeClass) + guess) / (s.n.read(g.now, fadeClass) + 1)
+}
+
+// slowness compares a member's latency with what its txns took anywhere; silence with work out counts as it grows.
+func (g *Gateway) slowness(m *member) float64 {
+	return (m.slow.read(g.now, fadeLatency) + 2) / (m.ends.read(g.now, fadeLatency) + 2)
+}
+
+func (g *Gateway) meanLatency(m *member) float64 {
+	guess := g.expected(0)
+	return (m.elapsed.read(g.now, fadeLatency) + guess) / (m.ends.read(g.now, fadeLatency) + 1)
+}
+
+func (g *Gateway) log(format string, a ...any) { g.lines = append(g.lines, fmt.Sprintf(format, a...)) }
+
+func (g *Gateway) queue(t *txn) {
+	t.waiting = true
+	t.group.waiting[t.class] = append(t.group.waiting[t.class], t)
+}
+
+// Next gives one decision of this round, or says that there is none left.
+func (g *Gateway) Next() (Decision, bool) {
+	for ; g.stage < 5; g.stage, g.cursor = g.stage+1, 0 {
+		var d Decision
+		var ok bool
+		switch g.stage {
+		case 0:
+			d, ok = g.ask()
+		case 1:
+			d, ok = g.review()
+		case 2:
+			d, ok = g.dispatch()
+		case 3:
+			if len(g.lines) > 0 {
+				d, ok = Decision{Kind: Log, Text: g.lines[0]}, true
+				g.lines = g.lines[1:]
+			}
+		case 4:
+			d, ok = g.wake()
+		}
+		if ok {
+			return d, true
+		}
+	}
+	return Decision{}, false
+}
+
+// ask follows the list; a call that got no word at all is made again too.
+func (g *Gateway) ask() (Decision, bool) {
+	if g.site.MembershipMode != "ask" || g.follows || g.now < g.askAt {
+		return Decision{}, false
+	}
+	g.askAt = g.now + g.site.Rules.AskWithin/2
+	return Decision{Kind: Follow}, true
+}
+
+func (g *Gateway) wake() (Decision, bool) {
+	if g.wakeAt > g.now || (len(g.open) == 0 && (g.follows || g.site.MembershipMode != "ask")) {
+		return Decision{}, false
+	}
+	g.wakeAt = g.now + max(pulse, g.site.Tick)
+	return Decision{Kind: Wake, After: g.wakeAt - g.now}, true
+}
+
+// review looks at members for silence, then at each open txn for what its time still allows.
+func (g *Gateway) review() (Decision, bool) {
+	if g.cursor == 0 {
+		if g.now < g.reviewAt {
+			return Decision{}, false
+		}
+		for _, m := range g.order {
+			quiet, mean := float64(g.now-m.quietSince), g.meanLatency(m)
+			if m.out > 0 && quiet > silentLeast*mean && quiet*float64(m.out) > silentMeans*mean {
+				g.suspects(m, "silent")
+			}
+		}
+		g.open = slices.DeleteFunc(g.open, func(t *txn) bool { return t.done && t.out == 0 })
+	}
+	for g.cursor < len(g.open) {
+		t := g.open[g.cursor]
+		if d, ok := g.reviewTxn(t); ok {
+			return d, true
+		}
+		g.cursor++
+	}
+	g.reviewAt = g.now + pulse
+	return Decision{}, false
+}
+
+func (g *Gateway) reviewTxn(t *txn) (Decision, bool) {
+	c := &g.site.Classes[t.class]
+	if t.done {
+		// The loser of two copies, or work whose client has its answer, is called off.
+		for i := range t.subs {
+			if s := &t.subs[i]; !s.over && !s.cancelled && g.site.Limits.Cancelling && c.Effect == "repeatable" {
+				s.cancelled = true
+				return Decision{Kind: Cancel, Txn: t.id, No: uint16(i)}, true
+			}
+		}
+		return Decision{}, false
+	}
+	need := Nanos(hopeless * g.expected(t.class))
+	last := t.expiry - 2*g.site.Tick
+	if t.out == 0 {
+		if c.LateValue == 0 {
+			last = min(last, t.aim-need)
+		} else {
+			last = min(last, t.expiry-need)
+		}
+	}
+	// A txn that can no longer be served in time gets its answer at once.
+	if g.now >= last || (t.out == 0 && !g.maySubmit(t)) {
+		return g.giveUp(t), true
+	}
+	if t.out == 1 && !t.waiting {
+		i := slices.IndexFunc(t.subs, func(s submission) bool { return !s.over })
+		if s := &t.subs[i]; !s.cancelled && g.rescues(t, s) {
+			if g.site.Limits.MayDuplicate {
+				g.queue(t)
+			} else if g.site.Limits.Cancelling {
+				s.cancelled = true
+				return Decision{Kind: Cancel, Txn: t.id, No: uint16(i)}, true
+			}
+		}
+	}
+	return Decision{}, false
+}
+
+// rescues tells whether a txn in flight should be tried elsewhere: its member is suspect, or it takes far too long.
+func (g *Gateway) rescues(t *txn, s *submission) bool {
+	if len(t.subs) >= g.site.Limits.MaxAttempts {
+		return false
+	}
+	age, mean := float64(g.now-s.at), g.expected(t.class)
+	switch g.site.Classes[t.class].Effect {
+	case "repeatable":
+		if s.to.suspect {
+			return age > rescueMeans*mean
+		}
+		return g.site.Limits.MayDuplicate && age > copyMeans*mean && len(t.subs) < 2 && g.now < t.aim &&
+			g.copies.read(g.now, fadeClass) < copyShare*g.sends.read(g.now, fadeClass)
+	case "by_key":
+		// Only a new primary can do better, and only while the group remembers the first submission.
+		p := g.primaryOf(t.group)
+		return s.to.suspect && p != nil && p != s.to && !p.suspect && g.now < s.at+g.site.Classes[t.class].Window
+	}
+	return false
+}
+
+// maySubmit guards against a second effect.
+func (g *Gateway) maySubmit(t *txn) bool {
+	c := &g.site.Classes[t.class]
+	if len(t.subs) >= g.site.Limits.MaxAttempts || (t.out > 0 && !g.site.Limits.MayDuplicate) {
+		return false
+	}
+	ran := t.ranAt
+	for i := range t.subs {
+		if s := &t.subs[i]; !s.over && (ran == 0 || s.at < ran) {
+			ran = s.at
+		}
+	}
+	switch c.Effect {
+	case "repeatable":
+		return true
+	case "by_key":
+		return ran == 0 || g.now < ran+c.Window
+	}
+	return ran == 0
+}
+
+// giveUp answers a txn for good: declined where a retry can do no harm, else rolled back.
+func (g *Gateway) giveUp(t *txn) Decision {
+	t.done, t.waiting = true, false
+	if t.out == 0 {
+		delete(g.txns, t.id)
+	}
+	if t.group.scout == t {
+		t.group.scout = nil
+	}
+	c := &g.site.Classes[t.class]
+	unrun := t.ranAt == 0 && t.out == 0
+	if unrun || c.Effect == "repeatable" || (c.Effect == "by_key" && c.Group == "all") {
+		return Decision{Kind: Decline, Txn: t.id}
+	}
+	return Decision{Kind: RollBack, Txn: t.id}
+}
+
+// dispatch sends waiting txns, group by group, those of most value for their service time first.
+func (g *Gateway) dispatch() (Decision, bool) {
+	if g.cursor == 0 {
+		slices.SortStableFunc(g.ranking, func(a, b int) int {
+			x := g.site.Classes[a].Worth / g.expected(a)
+			y := g.site.Classes[b].Worth / g.expected(b)
+			return int(max(-1, min(1, (y-x)*1e12)))
+		})
+	}
+	for g.cursor < len(g.groups)*len(g.ranking) {
+		grp, class := g.groups[g.cursor/len(g.ranking)], g.ranking[g.cursor%len(g.ranking)]
+		grp.waiting[class] = slices.DeleteFunc(grp.waiting[class], func(t *txn) bool { return t.done || !t.waiting })
+		for i, t := range grp.waiting[class] {
+			if i >= scanDepth {
+				break
+			}
+			if !g.maySubmit(t) {
+				continue
+			}
+			if m := g.place(t); m != nil {
+				return g.submit(t, m), true
+			}
+		}
+		g.cursor++
+	}
+	return Decision{}, false
+}
+
+func (g *Gateway) submit(t *txn, m *member) Decision {
+	if m.out == 0 {
+		m.quietSince = g.now
+	}
+	if m.suspect {
+		m.trial = min(m.trial*2, trialLast)
+		m.trialAt = g.now + m.trial
+	}
+	if t.out > 0 {
+		g.copies.add(g.now, fadeClass, 1)
+	}
+	g.sends.add(g.now, fadeClass, 1)
+	m.sent.add(g.now, g.site.Rules.OverloadFor, g.expected(t.class))
+	t.subs = append(t.subs, submission{to: m, at: g.now})
+	t.out++
+	m.out++
+	t.waiting = false
+	return Decision{Kind: Submit, Txn: t.id, Server: m.id, Until: t.expiry}
+}
+
+// primaryOf is the member that an answer called primary last; before any has, the one that the list names.
+func (g *Gateway) primaryOf(grp *group) *member {
+	var named *member
+	for _, m := range grp.members {
+		if m.barred {
+			continue
+		}
+		if m.role == rolePrimary {
+			return m
+		}
+		if m.named && m.role != roleReplica {
+			named = m
+		}
+	}
+	return named
+}
+
+// place chooses a member for a txn by the design's steps, or none while it must wait.
+func (g *Gateway) place(t *txn) *member {
+	need := g.site.Family.Consistency[t.class]
+	p := g.primaryOf(t.group)
+	if need == "mutate" || need == "strong" {
+		return g.placeOnPrimary(t, p, need == "mutate")
+	}
+	floor := t.token
+	checked := g.site.Family.WhenBehind != "none"
+	if need == "lag_bound" {
+		bound := g.site.Family.Bound[t.class]
+		floor = g.now - bound + Nanos(boundMargin*float64(bound))
+	}
+	// Steps 2, 3, 6 and 7: a replica that needs no proof or is known to have reached the floor.
+	known := false
+	m := g.pick(t, func(m *member) bool {
+		ok := m != p && m.position >= floor
+		known = known || ok
+		return ok
+	})
+	if m != nil {
+		return m
+	}
+	if floor <= 0 {
+		return g.spare(t, p, true)
+	}
+	if checked && !t.passed {
+		// Step 4 where replicas check: their hold is the wait. One that cannot make it within that is left alone.
+		m = g.pick(t, func(m *member) bool { return m != p && g.now-m.lag+g.site.Family.Hold >= floor })
+		if m != nil {
+			return m
+		}
+	}
+	if !checked && need == "causal" && !t.passed {
+		// Step 4 where they do not: wait for word of some replica.
+		if t.waitFrom == 0 {
+			t.waitFrom = g.now
+		}
+		if g.now < min(t.waitFrom+waitSpan, t.aim-Nanos(2*g.expected(t.class))) {
+			return nil
+		}
+		t.passed = true
+	}
+	// Step 5, and step 6's else: the primary; where replicas check, a guess will do.
+	if p != nil && !p.suspect && (p.role == rolePrimary || checked) {
+		return g.spare(t, p, known && !t.passed)
+	}
+	// No primary to fall back on: where replicas check, they are tried again after a pause.
+	if checked && g.now >= t.pauseTo {
+		t.passed = false
+	}
+	return nil
+}
+
+// spare is the primary for a read, if it has room; where replicas could serve it but are crowded, only ample room.
+func (g *Gateway) spare(t *txn, p *member, crowded bool) *member {
+	if p == nil || p.suspect || !g.room(p, t) || (p.role != rolePrimary && g.site.Family.WhenBehind == "none") {
+		return nil
+	}
+	if crowded && float64(p.out) >= p.limit/2 {
+		return nil
+	}
+	return p
+}
+
+// placeOnPrimary is step 1; without a primary that answers, one write at a time tries the members in turn.
+func (g *Gateway) placeOnPrimary(t *txn, p *member, write bool) *member {
+	if p != nil && !p.suspect {
+		if (write || p.role == rolePrimary || g.site.Family.WhenBehind != "none") && g.room(p, t) && !t.tried(p, g.now-pulse) {
+			return p
+		}
+		return nil
+	}
+	grp := t.group
+	if (grp.scout != nil && grp.scout != t) || (!write && g.site.Family.WhenBehind == "none") ||
+		2*len(t.subs) >= g.site.Limits.MaxAttempts {
+		return nil
+	}
+	var best *member
+	for _, m := range grp.members {
+		// Who has just said that it is a replica, to any txn, is not asked again: that is the pause after a round.
+		if m == p || m.barred || m.suspect || (m.role == roleReplica && g.now-m.roleAt < t.budget/holdPart) {
+			continue
+		}
+		if best == nil || (m.named && !best.named) || (m.named == best.named && m.position > best.position) {
+			best = m
+		}
+	}
+	if best != nil {
+		grp.scout = t
+	}
+	return best
+}
+
+// tried tells whether the txn was sent to a member at or after a time.
+func (t *txn) tried(m *member, since Nanos) bool {
+	return slices.ContainsFunc(t.subs, func(s submission) bool { return s.to == m && s.at >= since })
+}
+
+// pick is the least loaded member with room among those that will do.
+func (g *Gateway) pick(t *txn, will func(*member) bool) *member {
+	var best *member
+	var low float64
+	for _, m := range t.group.members {
+		if m.barred || !will(m) || !g.room(m, t) || (t.out > 0 && t.tried(m, 0)) {
+			continue
+		}
+		cost := float64(m.out+1) * g.slowness(m) * (1 + 0.01*g.rng.unit())
+		if m.zone != g.site.Zone {
+			cost *= farPenalty
+		}
+		if best == nil || cost < low {
+			best, low = m, cost
+		}
+	}
+	return best
+}
+
+// room tells whether a member may take one more: its limit, a suspect's trials, a cold member's budget.
+func (g *Gateway) room(m *member, t *txn) bool {
+	if m.barred {
+		return false
+	}
+	if m.suspect && !g.allSuspect(t.group) {
+		return m.out == 0 && g.now >= m.trialAt && g.site.Classes[t.class].Effect == "repeatable" && t.out == 0
+	}
+	return float64(m.out) < m.limit && g.warmEnough(m)
+}
+
+// allSuspect: when every member is suspect the fault is more likely here or on the way, so none is avoided.
+func (g *Gateway) allSuspect(grp *group) bool {
+	for _, m := range grp.members {
+		if !m.barred && !m.suspect {
+			return false
+		}
+	}
+	return true
+}
+
+// warmEnough keeps a cold member from being pushed over. It may get the share of its warm peers' work that its age
+// assures it can do. All gateways together then send it no more than that share of what a warm one carries, however
+// uneven their traffic is.
+func (g *Gateway) warmEnough(m *member) bool {
+	r := &g.site.Rules
+	age := g.now - m.startedAt
+	if m.startedAt == 0 || age >= r.Cold {
+		return true
+	}
+	share := r.ColdFrom + (1-r.ColdFrom)*max(0, float64(age)/float64(r.Cold))
+	var peers, n float64
+	for _, o := range g.order {
+		if o.kind == m.kind && !o.barred && !o.suspect && (o.startedAt == 0 || g.now-o.startedAt >= r.Cold) {
+			peers += o.sent.read(g.now, r.OverloadFor)
+			n++
+		}
+	}
+	mine := m.sent.read(g.now, r.OverloadFor)
+	return m.out == 0 && mine < g.expected(0) || n > 0 && mine < share*peers/n
+}
--- /dev/null
+++ b/decide/interface.go
@@ -0,0 +1,89 @@
+package decide
+
+import (
+	"encoding/json"
+	"math"
+)
+
+// Nanos is a time on the host's clock or a span, in whole nanoseconds; in settings it is written in milliseconds.
+type Nanos int64
+
+// Millisecond is the unit of settings.
+const Millisecond Nanos = 1e6
+
+// Millis converts milliseconds with a fraction; what no clock can hold is cut to the largest span.
+func Millis(ms float64) Nanos {
+	if ns := ms * 1e6; ns > -math.MaxInt64/2 && ns < math.MaxInt64/2 {
+		return Nanos(math.Round(ns))
+	}
+	return math.MaxInt64 / 4
+}
+
+func (n *Nanos) UnmarshalJSON(text []byte) error {
+	var ms float64
+	err := json.Unmarshal(text, &ms)
+	*n = Millis(ms)
+	return err
+}
+
+// Server is a database server's address and port, as the wire gives them.
+type Server [6]byte
+
+// Result is how a submission or a probe ended.
+type Result int
+
+const (
+	Committed Result = iota
+	Failed           // answered with an error: may have had an effect
+	Full             // turned away unseen
+	TimedOut
+	Unreachable // no connection: never ran
+	Broken      // the connection failed: may have run
+	Cancelled   // may have run
+	Moot        // never sent
+	Missed      // turned away untouched: not the primary, or too far behind
+)
+
+// Status is what the list says of a member.
+type Status int
+
+const (
+	Gone Status = iota
+	Ready
+	Draining
+)
+
+// Scope is how much of the list an announcement brings.
+type Scope int
+
+const (
+	Delta Scope = iota
+	FullList
+	CachedList
+)
+
+// Kind is what a decision asks of the host.
+type Kind int
+
+const (
+	Submit   Kind = iota // Txn to Server, given up at Until
+	Decline              // Txn, final; a retry does no harm; come back After
+	RollBack             // Txn, final; nothing is promised
+	Cancel               // submission No of Txn
+	Probe                // Server
+	Follow               // subscribe to the list's changes
+	Fetch                // ask for the whole list once
+	Wake                 // a call of Woken After this span
+	Log                  // Text
+)
+
+// Decision is one thing for the host to do; which fields count depends on Kind.
+type Decision struct {
+	Kind   Kind
+	Txn    uint64
+	No     uint16
+	Server Server
+	Until  Nanos
+	After  Nanos
+	Text   string
+}
