Suspicion needs twelve mean latencies of waiting work, not a short quiet

The same count covers hung, vanished and cut-off members. Harm: a member with little work in flight is noticed later.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -20,8 +20,8 @@
 	holdPart     = 20                 // a write without a primary holds this part of its time between miss rounds
 	fadeLatency  = 2000 * Millisecond // memory of a member's speed: long against one answer, short against a trouble
 	fadeClass    = 5000 * Millisecond // memory of a txn type's service time: steadier than any one member
-	silentMeans  = 6.0                // a member whose answers are overdue by this many means is suspect: e^-6 by chance
-	silentLeast  = 2.0                // nor is it before this many mean latencies have passed without any answer
+	silentMeans  = 12.0               // a member is suspect when its work in flight adds up to this many mean latencies
+	silentLeast  = 4.0                // since its last answer, which itself is this many ago: both are rare by chance
 	trialFirst   = 250 * Millisecond  // a suspect gets a trial read after this span, doubled each time it fails
 	trialLast    = 2000 * Millisecond // up to this one, so that a member that came back is not left idle for long
 	limitStart   = 8.0                // first limit on what is in flight to a member: a few cores' worth
@@ -56,6 +56,7 @@
 	roleAt                    Nanos // when an answer told the role last
 	named                     bool  // the list says that it is the primary
 	out                       int   // submissions in flight from here
+	sentSum                   Nanos // sum of the times at which they were sent
 	limit                     float64
 	elapsed, slow, late, ends decaying // sums over answers: latency, latency in service times, in SLA times; count
 	sent                      decaying // service time sent within the span of the rule on cold members
@@ -183,6 +184,7 @@
 	s.over = true
 	t.out--
 	m.out--
+	m.sentSum -= s.at
 	g.heardNote(m, note)
 	g.heardReport(m, report)
 	switch r {
@@ -528,7 +530,9 @@
 		}
 		for _, m := range g.order {
 			quiet, mean := float64(g.now-m.quietSince), g.meanLatency(m)
-			if m.out > 0 && quiet > silentLeast*mean && quiet*float64(m.out) > silentMeans*mean {
+			// Work that was sent after the last answer has waited for less than the quiet lasts.
+			waited := min(quiet*float64(m.out), float64(g.now*Nanos(m.out)-m.sentSum))
+			if m.out > 0 && quiet > silentLeast*mean && waited > silentMeans*mean {
 				g.suspects(m, "silent")
 			}
 		}
@@ -687,6 +691,7 @@
 	t.subs = append(t.subs, submission{to: m, at: g.now})
 	t.out++
 	m.out++
+	m.sentSum += g.now
 	t.waiting = false
 	return Decision{Kind: Submit, Txn: t.id, Server: m.id, Until: t.expiry}
 }
