--- a/decide/decide.go
+++ b/decide/decide.go
@@ -214,7 +214,8 @@
 		s.ran = true
 	case TimedOut:
 		s.ran = true
-		if m.quietSince <= s.at {
+		// Only a wait that is long for this member tells of it; a client's short patience does not.
+		if m.quietSince <= s.at && float64(g.now-s.at) > silentLeast*g.meanLatency(m) {
 			g.suspects(m, "time-out without an answer since")
 		}
 	case Broken:
@@ -726,6 +727,10 @@
 		bound := g.site.Family.Bound[t.class]
 		floor = g.now - bound + Nanos(boundMargin*float64(bound))
 	}
+	// A suspect primary gets its trials too: without them nobody would ever see that it answers again.
+	if p != nil && p.suspect && (checked || p.role == rolePrimary) && g.room(p, t) {
+		return p
+	}
 	// Steps 2, 3, 6 and 7: a replica that needs no proof or is known to have reached the floor.
 	known := false
 	m := g.pick(t, func(m *member) bool {
@@ -801,6 +806,9 @@
 			best = m
 		}
 	}
+	if best == nil && p != nil && p.suspect && !p.barred && g.now > p.trialAt+trialLast {
+		best = p // no read came that could have been its trial
+	}
 	if best != nil {
 		grp.scout = t
 	}
