Reads on a primary make way for its writes; writes ask unheard replicas for their position

Cause: with replicas seconds behind, bounded reads fell on the primary and filled it, and writes waited at the gateways behind a limit that the reads had cut. Covers any crowding of a primary by reads, from lag, lost replicas or a hot gateway. Harm: reads are declined on a primary that could have taken a few more.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,6 +33,8 @@
 	copyShare    = 0.05               // second copies for each submission, at most
 	farPenalty   = 1.15               // a member in another zone must be this much less loaded to be preferred
 	askFirst     = 250 * Millisecond  // list calls that fail are made again after this span, doubled and jittered
+	askSpan      = 50 * Millisecond   // a replica is asked for its position this often at most: about a session's pause
+	askPart      = 8                  // or once in this part of its lag, which it cannot make up sooner
 	reportAge    = 1000 * Millisecond // an answer's word on a role outweighs a report's for this long
 	scanDepth    = 64                 // waiting txns of a type looked at in a round: bounds the work in a jam
 	longestQuiet = 1000 * Millisecond // a suspect back after longer starts again with a small limit
@@ -52,6 +54,7 @@
 	ready, drained, barred    bool // barred: told that it drains or is gone
 	startedAt                 Nanos
 	position, lag             Nanos // proven position; how far behind it was when last heard of
+	heardAt, askedAt          Nanos // when an answer told its position last; when a write was sent to ask for it
 	role                      int
 	roleAt                    Nanos // when an answer told the role last
 	named                     bool  // the list says that it is the primary
@@ -71,7 +74,7 @@
 	members []*member
 	waiting [][]*txn // by txn type, in order of arrival
 	scout   *txn     // the write that is trying members in turn
-	primary *member  // as last logged
+	lackAt  Nanos    // when a read last found no replica known to be fresh enough
 }
 
 // submission is one try of a txn at a member.
@@ -360,7 +363,7 @@
 	}
 	if at := Nanos(note>>2) * Millisecond; at > 0 {
 		g.reached(m, g.site.Family.Zero+at)
-		m.lag = g.now - (g.site.Family.Zero + at)
+		m.lag, m.heardAt = g.now-(g.site.Family.Zero+at), g.now
 	}
 }
 
@@ -742,7 +745,10 @@
 		return m
 	}
 	if floor <= 0 {
-		return g.spare(t, p, true)
+		return g.spare(t, p)
+	}
+	if !known {
+		t.group.lackAt = g.now
 	}
 	if checked && !t.passed {
 		// Step 4 where replicas check: their hold is the wait. One that cannot make it within that is left alone.
@@ -763,7 +769,7 @@
 	}
 	// Step 5, and step 6's else: the primary; where replicas check, a guess will do.
 	if p != nil && !p.suspect && (p.role == rolePrimary || checked) {
-		return g.spare(t, p, known && !t.passed)
+		return g.spare(t, p)
 	}
 	// No primary to fall back on: where replicas check, they are tried again after a pause.
 	if checked && g.now >= t.pauseTo {
@@ -772,12 +778,19 @@
 	return nil
 }
 
-// spare is the primary for a read, if it has room; where replicas could serve it but are crowded, only ample room.
-func (g *Gateway) spare(t *txn, p *member, crowded bool) *member {
+// spare is the primary for a read, as far as its writes leave room: none while writes wait here, and less the nearer
+// its latency comes to what cuts the limit, so that the reads of all gateways make way before anyone's writes have to.
+func (g *Gateway) spare(t *txn, p *member) *member {
 	if p == nil || p.suspect || !g.room(p, t) || (p.role != rolePrimary && g.site.Family.WhenBehind == "none") {
 		return nil
 	}
-	if crowded && float64(p.out) >= p.limit/2 {
+	for class, w := range t.group.waiting {
+		if len(w) > 0 && g.site.Family.Consistency[class] == "mutate" {
+			return nil
+		}
+	}
+	late := p.late.read(g.now, fadeLatency) / (p.ends.read(g.now, fadeLatency) + 1)
+	if float64(p.out) >= p.limit*(1-late/lateShare) {
 		return nil
 	}
 	return p
@@ -786,6 +799,10 @@
 // placeOnPrimary is step 1; without a primary that answers, one write at a time tries the members in turn.
 func (g *Gateway) placeOnPrimary(t *txn, p *member, write bool) *member {
 	if p != nil && !p.suspect {
+		if r := g.unheard(t, p); write && r != nil {
+			r.askedAt = g.now
+			return r
+		}
 		if (write || p.role == rolePrimary || g.site.Family.WhenBehind != "none") && g.room(p, t) && !t.tried(p, g.now-pulse) {
 			return p
 		}
@@ -815,6 +832,27 @@
 	return best
 }
 
+// unheard is a replica that a write may ask for its position on the way to the primary: a miss, which runs nothing,
+// tells it. Where servers do not check reads and reports show no position, a replica that gets no reads for want of
+// proof would else never be known to have caught up. One that is far behind is asked less often.
+func (g *Gateway) unheard(t *txn, p *member) *member {
+	if g.site.Family.WhenBehind != "none" || !g.site.Family.AnswersStamped || len(t.subs) > 0 ||
+		g.site.LoadReport.How != "none" || g.site.Limits.MaxAttempts < 4 {
+		return nil
+	}
+	var best *member
+	for _, m := range t.group.members {
+		last := max(m.heardAt, m.askedAt)
+		if m == p || m.barred || m.suspect || last >= t.group.lackAt || g.now-last < max(askSpan, m.lag/askPart) {
+			continue
+		}
+		if best == nil || last < max(best.heardAt, best.askedAt) {
+			best = m
+		}
+	}
+	return best
+}
+
 // tried tells whether the txn was sent to a member at or after a time.
 func (t *txn) tried(m *member, since Nanos) bool {
 	return slices.ContainsFunc(t.subs, func(s submission) bool { return s.to == m && s.at >= since })
