A cold member's budget follows the busiest warm peer; the bound's margin shrinks to 0.02

Cause: the mean of peers that lag or idle gave a fresh primary next to nothing while dozens of writes waited for it. Harm: a gateway whose busiest peer is overfull sends a cold member more than it should; the member's own limit starts at one for that.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -16,7 +16,7 @@
 const (
 	waitSpan     = 150 * Millisecond  // step 4: a tokened read waits this long on replicas (the post's MAX_WAIT_MS)
 	pulse        = 5 * Millisecond    // how often open txns are looked at; a few ticks at the coarsest
-	boundMargin  = 0.1                // of a bound, kept in hand for the way to the replica and the clock's steps
+	boundMargin  = 0.02               // of a bound, kept in hand: proven positions err on the safe side already
 	holdPart     = 20                 // a write without a primary holds this part of its time between miss rounds
 	fadeLatency  = 2000 * Millisecond // memory of a member's speed: long against one answer, short against a trouble
 	fadeClass    = 5000 * Millisecond // memory of a txn type's service time: steadier than any one member
@@ -276,7 +276,7 @@
 	}
 	if start > m.startedAt {
 		// It runs anew, cold: what was measured of its last run tells nothing of this one.
-		m.startedAt, m.limit, m.suspect = start, 2, false
+		m.startedAt, m.limit, m.suspect = start, 1, false
 		m.elapsed, m.slow, m.late, m.ends = decaying{}, decaying{}, decaying{}, decaying{}
 	}
 	m.zone, m.kind, m.named = zone, kind, named
@@ -898,9 +898,9 @@
 	return true
 }
 
-// warmEnough keeps a cold member from being pushed over. It may get the share of its warm peers' work that its age
-// assures it can do. All gateways together then send it no more than that share of what a warm one carries, however
-// uneven their traffic is.
+// warmEnough keeps a cold member from being pushed over. It may get the share that its age assures it can do of what
+// its busiest warm peer gets from here. All gateways together then send it little more than that share of what a warm
+// one carries, however uneven their traffic is; its limit, which starts at one, sees to the first moments.
 func (g *Gateway) warmEnough(m *member) bool {
 	r := &g.site.Rules
 	age := g.now - m.startedAt
@@ -911,10 +911,9 @@
 	var peers, n float64
 	for _, o := range g.order {
 		if o.kind == m.kind && !o.barred && !o.suspect && (o.startedAt == 0 || g.now-o.startedAt >= r.Cold) {
-			peers += o.sent.read(g.now, r.OverloadFor)
-			n++
+			peers, n = max(peers, o.sent.read(g.now, r.OverloadFor)), n+1
 		}
 	}
 	mine := m.sent.read(g.now, r.OverloadFor)
-	return m.out == 0 && mine < g.expected(0) || n > 0 && mine < share*peers/n
+	return m.out == 0 && mine < g.expected(0) || n > 0 && mine < share*peers
 }
