--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,7 +33,7 @@
 	copyShare    = 0.05               // second copies for each submission, at most
 	farPenalty   = 1.15               // a member in another zone must be this much less loaded to be preferred
 	askFirst     = 250 * Millisecond  // list calls that fail are made again after this span, doubled and jittered
-	askSpan      = 50 * Millisecond   // a replica is asked for its position this often at most: about a session's pause
+	askSpan      = 200 * Millisecond  // a replica is asked for its position this often at most: about a session's pause
 	askPart      = 8                  // or once in this part of its lag, which it cannot make up sooner
 	reportAge    = 1000 * Millisecond // an answer's word on a role outweighs a report's for this long
 	scanDepth    = 64                 // waiting txns of a type looked at in a round: bounds the work in a jam
@@ -54,7 +54,8 @@
 	ready, drained, barred    bool // barred: told that it drains or is gone
 	startedAt                 Nanos
 	position, lag             Nanos // proven position; how far behind it was when last heard of
-	heardAt, askedAt          Nanos // when an answer told its position last; when a write was sent to ask for it
+	lagAt, heardAt            Nanos // when the lag and the position were told
+	lackAt, askedAt           Nanos // when a read last passed it over for want of proof; when it was last asked
 	role                      int
 	roleAt                    Nanos // when an answer told the role last
 	named                     bool  // the list says that it is the primary
@@ -74,7 +75,6 @@
 	members []*member
 	waiting [][]*txn // by txn type, in order of arrival
 	scout   *txn     // the write that is trying members in turn
-	lackAt  Nanos    // when a read last found no replica known to be fresh enough
 }
 
 // submission is one try of a txn at a member.
@@ -201,7 +201,7 @@
 	case Missed:
 		g.answered(m)
 		if t.token > 0 && note>>2 == 0 {
-			m.lag = max(m.lag, g.now-t.token)
+			m.lag, m.lagAt = max(g.behind(m), g.now-t.token), g.now
 		}
 		// A read that was turned away has had its wait on a replica: step 5.
 		t.passed = true
@@ -363,7 +363,7 @@
 	}
 	if at := Nanos(note>>2) * Millisecond; at > 0 {
 		g.reached(m, g.site.Family.Zero+at)
-		m.lag, m.heardAt = g.now-(g.site.Family.Zero+at), g.now
+		m.lag, m.lagAt, m.heardAt = g.now-(g.site.Family.Zero+at), g.now, g.now
 	}
 }
 
@@ -379,7 +379,7 @@
 				// The figure is rounded to 24 bits: a microsecond in sixteen seconds, so a little is taken off.
 				at := g.site.Family.Zero + Millis(float64(report[i])*(1-1e-6)*1000)
 				g.reached(m, at)
-				m.lag = min(m.lag, g.now-at)
+				m.lag, m.lagAt, m.heardAt = min(g.behind(m), g.now-at), g.now, g.now
 			}
 		case "x1":
 			if g.now-m.roleAt > reportAge || m.role == roleUnknown {
@@ -412,7 +412,7 @@
 	case "causal", "strong":
 		if g.site.Family.WhenBehind != "none" && t.token > 0 {
 			g.reached(m, t.token)
-			m.lag = min(m.lag, g.now-t.token)
+			m.lag, m.lagAt = min(g.behind(m), g.now-t.token), g.now
 		}
 	}
 }
@@ -484,7 +484,7 @@
 
 // Next gives one decision of this round, or says that there is none left.
 func (g *Gateway) Next() (Decision, bool) {
-	for ; g.stage < 5; g.stage, g.cursor = g.stage+1, 0 {
+	for ; g.stage < 6; g.stage, g.cursor = g.stage+1, 0 {
 		var d Decision
 		var ok bool
 		switch g.stage {
@@ -495,11 +495,13 @@
 		case 2:
 			d, ok = g.dispatch()
 		case 3:
+			d, ok = g.probe()
+		case 4:
 			if len(g.lines) > 0 {
 				d, ok = Decision{Kind: Log, Text: g.lines[0]}, true
 				g.lines = g.lines[1:]
 			}
-		case 4:
+		case 5:
 			d, ok = g.wake()
 		}
 		if ok {
@@ -735,11 +737,11 @@
 		return p
 	}
 	// Steps 2, 3, 6 and 7: a replica that needs no proof or is known to have reached the floor.
-	known := false
 	m := g.pick(t, func(m *member) bool {
-		ok := m != p && m.position >= floor
-		known = known || ok
-		return ok
+		if m != p && m.position < floor {
+			m.lackAt = g.now
+		}
+		return m != p && m.position >= floor
 	})
 	if m != nil {
 		return m
@@ -747,12 +749,9 @@
 	if floor <= 0 {
 		return g.spare(t, p)
 	}
-	if !known {
-		t.group.lackAt = g.now
-	}
 	if checked && !t.passed {
 		// Step 4 where replicas check: their hold is the wait. One that cannot make it within that is left alone.
-		m = g.pick(t, func(m *member) bool { return m != p && g.now-m.lag+g.site.Family.Hold >= floor })
+		m = g.pick(t, func(m *member) bool { return m != p && g.now-g.behind(m)+g.site.Family.Hold >= floor })
 		if m != nil {
 			return m
 		}
@@ -799,8 +798,7 @@
 // placeOnPrimary is step 1; without a primary that answers, one write at a time tries the members in turn.
 func (g *Gateway) placeOnPrimary(t *txn, p *member, write bool) *member {
 	if p != nil && !p.suspect {
-		if r := g.unheard(t, p); write && r != nil {
-			r.askedAt = g.now
+		if r := g.detour(t); write && r != nil {
 			return r
 		}
 		if (write || p.role == rolePrimary || g.site.Family.WhenBehind != "none") && g.room(p, t) && !t.tried(p, g.now-pulse) {
@@ -832,27 +830,53 @@
 	return best
 }
 
-// unheard is a replica that a write may ask for its position on the way to the primary: a miss, which runs nothing,
-// tells it. Where servers do not check reads and reports show no position, a replica that gets no reads for want of
-// proof would else never be known to have caught up. One that is far behind is asked less often.
-func (g *Gateway) unheard(t *txn, p *member) *member {
-	if g.site.Family.WhenBehind != "none" || !g.site.Family.AnswersStamped || len(t.subs) > 0 ||
-		g.site.LoadReport.How != "none" || g.site.Limits.MaxAttempts < 4 {
-		return nil
-	}
+// behind guesses how far a member lags: as last heard, and less the longer ago that was, so that a lag which nobody
+// tells the end of is tried again. No read that a server does not check relies on it.
+func (g *Gateway) behind(m *member) Nanos { return max(0, m.lag-(g.now-m.lagAt)) }
+
+// unheard is a replica that reads passed over for want of proof and that should be asked for its position: without
+// that, one which gets no reads for want of proof would never be known to have caught up.
+func (g *Gateway) unheard(members []*member) *member {
 	var best *member
-	for _, m := range t.group.members {
+	for _, m := range members {
 		last := max(m.heardAt, m.askedAt)
-		if m == p || m.barred || m.suspect || last >= t.group.lackAt || g.now-last < max(askSpan, m.lag/askPart) {
+		if m.barred || m.role == rolePrimary || last >= m.lackAt || g.now-last < max(askSpan, m.lag/askPart) {
 			continue
 		}
 		if best == nil || last < max(best.heardAt, best.askedAt) {
 			best = m
 		}
 	}
+	if best != nil {
+		best.askedAt = g.now
+	}
 	return best
 }
 
+// probe asks by probes where their reports hold a position.
+func (g *Gateway) probe() (Decision, bool) {
+	if !g.site.Limits.Probes || g.site.LoadReport.How == "none" || !slices.Contains(g.site.LoadReport.Fields, "x0") {
+		return Decision{}, false
+	}
+	if m := g.unheard(g.order); m != nil {
+		return Decision{Kind: Probe, Server: m.id}, true
+	}
+	return Decision{}, false
+}
+
+// detour sends a write by an unheard replica, whose miss runs nothing and tells its position, where no report does.
+func (g *Gateway) detour(t *txn) *member {
+	if g.site.Family.WhenBehind != "none" || !g.site.Family.AnswersStamped || len(t.subs) > 0 ||
+		g.site.LoadReport.How != "none" || g.site.Limits.MaxAttempts < 4 {
+		return nil
+	}
+	m := g.unheard(t.group.members)
+	if m != nil && m.suspect {
+		return nil
+	}
+	return m
+}
+
 // tried tells whether the txn was sent to a member at or after a time.
 func (t *txn) tried(m *member, since Nanos) bool {
 	return slices.ContainsFunc(t.subs, func(s submission) bool { return s.to == m && s.at >= since })
