A try's short budget tells what its client has spent; worthless repeats rank last

Cause: clients' repeats after the SLA time competed with first tries though nothing is paid for them. Harm: a client whose first tries have uneven budgets is taken for a repeat.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -8,6 +8,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"slices"
 )
@@ -73,7 +74,7 @@
 type group struct {
 	id      int
 	members []*member
-	waiting [][]*txn // by txn type, in order of arrival
+	waiting [][]*txn // by row, in order of arrival: a row for each txn type in time, then one for each that is late
 	scout   *txn     // the write that is trying members in turn
 }
 
@@ -113,7 +114,8 @@
 	txns     map[uint64]*txn
 	open     []*txn
 	service  []struct{ sum, n decaying } // by txn type: latency of what was committed
-	ranking  []int                       // txn types, most value for each unit of service time first
+	longest  []Nanos                     // by txn type: the longest time that a client gave a try
+	ranking  []int                       // rows of waiting txns, most value for each unit of service time first
 	tokens   map[uint64]Nanos            // last commits of sessions, where they are kept here
 	sends    decaying
 	copies   decaying
@@ -139,7 +141,8 @@
 	g := &Gateway{site: s, rng: newPCG(seed), members: map[Server]*member{}, txns: map[uint64]*txn{},
 		tokens: map[uint64]Nanos{}, listed: map[Server]bool{}, askSpan: askFirst}
 	g.service = make([]struct{ sum, n decaying }, len(s.Classes))
-	for i := range s.Classes {
+	g.longest = make([]Nanos, len(s.Classes))
+	for i := range 2 * len(s.Classes) {
 		g.ranking = append(g.ranking, i)
 	}
 	return g, nil
@@ -156,7 +159,13 @@
 	c := &g.site.Classes[class]
 	t := &txn{id: id, class: class, tenant: tenant, group: g.groupOf(grp), session: session, arrived: g.now,
 		budget: budget, expiry: g.now + budget, waiting: true}
-	t.aim = min(g.now+c.Aim+Nanos(c.AimStretch*float64(work)), t.expiry)
+	t.aim = g.now + c.Aim + Nanos(c.AimStretch*float64(work))
+	// A try that gets less time than others of its type is a client's repeat with little of its limit left, which
+	// tells how much of the SLA time went by before.
+	g.longest[class] = max(g.longest[class], budget)
+	if budget < g.longest[class]*49/50 {
+		t.aim = max(g.now, t.aim-max(0, c.HardLimit-budget))
+	}
 	switch g.site.Family.Consistency[class] {
 	case "causal":
 		if age > 0 {
@@ -172,7 +181,7 @@
 		t.token = g.now
 	}
 	g.txns[id], g.open = t, append(g.open, t)
-	t.group.waiting[class] = append(t.group.waiting[class], t)
+	g.queue(t)
 	return nil
 }
 
@@ -334,7 +343,7 @@
 			return grp
 		}
 	}
-	grp := &group{id: id, waiting: make([][]*txn, len(g.site.Classes))}
+	grp := &group{id: id, waiting: make([][]*txn, 2*len(g.site.Classes))}
 	g.groups = append(g.groups, grp)
 	slices.SortFunc(g.groups, func(a, b *group) int { return a.id - b.id })
 	return grp
@@ -478,8 +487,17 @@
 func (g *Gateway) log(format string, a ...any) { g.lines = append(g.lines, fmt.Sprintf(format, a...)) }
 
 func (g *Gateway) queue(t *txn) {
+	row := t.class
+	if t.aim <= g.now {
+		row += len(g.site.Classes)
+	}
 	t.waiting = true
-	t.group.waiting[t.class] = append(t.group.waiting[t.class], t)
+	t.group.waiting[row] = append(t.group.waiting[row], t)
+}
+
+// worthless tells that no answer to the txn earns anything any more; it is served only where nobody minds.
+func (g *Gateway) worthless(t *txn) bool {
+	return t.aim <= t.arrived && g.site.Classes[t.class].LateValue == 0
 }
 
 // Next gives one decision of this round, or says that there is none left.
@@ -570,7 +588,7 @@
 	need := Nanos(hopeless * g.expected(t.class))
 	last := t.expiry - 2*g.site.Tick
 	if t.out == 0 {
-		if c.LateValue == 0 {
+		if c.LateValue == 0 && !g.worthless(t) {
 			last = min(last, t.aim-need)
 		} else {
 			last = min(last, t.expiry-need)
@@ -653,19 +671,25 @@
 	return Decision{Kind: RollBack, Txn: t.id}
 }
 
+// rowValue is what a unit of service time earns in a row of waiting txns.
+func (g *Gateway) rowValue(row int) float64 {
+	n := len(g.site.Classes)
+	c := &g.site.Classes[row%n]
+	if row >= n {
+		return c.Worth * c.LateValue / g.expected(row%n)
+	}
+	return c.Worth / g.expected(row)
+}
+
 // dispatch sends waiting txns, group by group, those of most value for their service time first.
 func (g *Gateway) dispatch() (Decision, bool) {
 	if g.cursor == 0 {
-		slices.SortStableFunc(g.ranking, func(a, b int) int {
-			x := g.site.Classes[a].Worth / g.expected(a)
-			y := g.site.Classes[b].Worth / g.expected(b)
-			return int(max(-1, min(1, (y-x)*1e12)))
-		})
+		slices.SortStableFunc(g.ranking, func(a, b int) int { return cmp.Compare(g.rowValue(b), g.rowValue(a)) })
 	}
 	for g.cursor < len(g.groups)*len(g.ranking) {
-		grp, class := g.groups[g.cursor/len(g.ranking)], g.ranking[g.cursor%len(g.ranking)]
-		grp.waiting[class] = slices.DeleteFunc(grp.waiting[class], func(t *txn) bool { return t.done || !t.waiting })
-		for i, t := range grp.waiting[class] {
+		grp, row := g.groups[g.cursor/len(g.ranking)], g.ranking[g.cursor%len(g.ranking)]
+		grp.waiting[row] = slices.DeleteFunc(grp.waiting[row], func(t *txn) bool { return t.done || !t.waiting })
+		for i, t := range grp.waiting[row] {
 			if i >= scanDepth {
 				break
 			}
@@ -783,8 +807,8 @@
 	if p == nil || p.suspect || !g.room(p, t) || (p.role != rolePrimary && g.site.Family.WhenBehind == "none") {
 		return nil
 	}
-	for class, w := range t.group.waiting {
-		if len(w) > 0 && g.site.Family.Consistency[class] == "mutate" {
+	for row, w := range t.group.waiting {
+		if len(w) > 0 && g.site.Family.Consistency[row%len(g.site.Classes)] == "mutate" {
 			return nil
 		}
 	}
@@ -909,7 +933,11 @@
 	if m.suspect && !g.allSuspect(t.group) {
 		return m.out == 0 && g.now >= m.trialAt && g.site.Classes[t.class].Effect == "repeatable" && t.out == 0
 	}
-	return float64(m.out) < m.limit && g.warmEnough(m)
+	limit := m.limit
+	if g.worthless(t) {
+		limit /= 2
+	}
+	return float64(m.out) < limit && g.warmEnough(m)
 }
 
 // allSuspect: when every member is suspect the fault is more likely here or on the way, so none is avoided.
--- a/decide/site.go
+++ b/decide/site.go
@@ -12,6 +12,7 @@
 	Worth      float64
 	LateValue  float64
 	Aim        Nanos `json:"promiseMs"`
+	HardLimit  Nanos `json:"hardLimitMs"`
 	AimStretch float64
 	Effect     string
 	Group      string
