--- a/decide/decide.go
+++ b/decide/decide.go
@@ -38,6 +38,7 @@
 	askPart      = 8                  // or once in this part of its lag, which it cannot make up sooner
 	reportAge    = 1000 * Millisecond // an answer's word on a role outweighs a report's for this long
 	scanDepth    = 64                 // waiting txns of a type looked at in a round: bounds the work in a jam
+	usualSteps   = 500                // steps of a client's limit in which its usual time for a try is followed
 	longestQuiet = 1000 * Millisecond // a suspect back after longer starts again with a small limit
 )
 
@@ -114,7 +115,7 @@
 	txns     map[uint64]*txn
 	open     []*txn
 	service  []struct{ sum, n decaying } // by txn type: latency of what was committed
-	longest  []Nanos                     // by txn type: the longest time that a client gave a try
+	usual    []Nanos                     // by txn type: three in four tries get no more time than this
 	ranking  []int                       // rows of waiting txns, most value for each unit of service time first
 	tokens   map[uint64]Nanos            // last commits of sessions, where they are kept here
 	sends    decaying
@@ -141,7 +142,7 @@
 	g := &Gateway{site: s, rng: newPCG(seed), members: map[Server]*member{}, txns: map[uint64]*txn{},
 		tokens: map[uint64]Nanos{}, listed: map[Server]bool{}, askSpan: askFirst}
 	g.service = make([]struct{ sum, n decaying }, len(s.Classes))
-	g.longest = make([]Nanos, len(s.Classes))
+	g.usual = make([]Nanos, len(s.Classes))
 	for i := range 2 * len(s.Classes) {
 		g.ranking = append(g.ranking, i)
 	}
@@ -160,10 +161,18 @@
 	t := &txn{id: id, class: class, tenant: tenant, group: g.groupOf(grp), session: session, arrived: g.now,
 		budget: budget, expiry: g.now + budget, waiting: true}
 	t.aim = g.now + c.Aim + Nanos(c.AimStretch*float64(work))
-	// A try that gets less time than others of its type is a client's repeat with little of its limit left, which
-	// tells how much of the SLA time went by before.
-	g.longest[class] = max(g.longest[class], budget)
-	if budget < g.longest[class]*49/50 {
+	// A try that gets less time than is usual is a client's repeat with little of its limit left, which tells how
+	// much of the SLA time went by before. What is usual is a quantile: single tries get more than a first one.
+	usual, step := &g.usual[class], c.HardLimit/usualSteps
+	switch {
+	case *usual == 0:
+		*usual = budget
+	case budget > *usual:
+		*usual += 3 * step
+	default:
+		*usual -= step
+	}
+	if budget < *usual*9/10 {
 		t.aim = max(g.now, t.aim-max(0, c.HardLimit-budget))
 	}
 	switch g.site.Family.Consistency[class] {
