--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,7 +27,7 @@
 	trialLast    = 2000 * Millisecond // up to this one, so that a member that came back is not left idle for long
 	limitStart   = 8.0                // first limit on what is in flight to a member: a few cores' worth
 	limitCut     = 0.8                // share left when a member answers too late for the SLA time
-	lateShare    = 0.5                // of the SLA time: a mean latency above it cuts the limit
+	lateShare    = 0.4                // of the SLA time: a mean latency above it cuts the limit
 	hopeless     = 1.2                // service times that must be left for a txn to be worth sending
 	rescueMeans  = 2.0                // service times after which a read on a suspect is taken elsewhere
 	copyMeans    = 4.0                // service times after which a read on a healthy member gets a second copy
