Trace tests, logs of mode changes, scouts that hang free the others, types beside the module

A scout that is not missed at once runs at the primary or hangs; the other writes waited for it. Tokens kept by the gateway are now pruned as replicas pass them, not only when read.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,138 +1,53 @@
 // Package decide routes txns over groups of a primary and its replicas.
 //
-// How it is called: New once with the settings; then, for each round, Clock with the time, then any of Arrived, Ended,
-// Probed, Withdrawn, Listed with ListEnds, and ListFailed, which only update what is known; then Next until it says
-// there is no more. A Wake decision asks for one more round. The types of that interface are in interface.go, what is
-// read of the settings in site.go, helpers in state.go. docs/design.md tells what is kept of the design and what not.
+// How it is called: New once with the settings; then, for each round, Clock with the time, then any of
+// Arrived, Ended, Probed, Withdrawn, Listed with ListEnds, and ListFailed, which only update what is
+// known; then Next until it says there is no more. A Wake decision asks for one more round. The types
+// of that interface are in interface.go, what is read of the settings in site.go, its state and helpers
+// in state.go. docs/design.md tells what is kept of the design and what not.
 package decide
 
 import (
 	"bytes"
 	"cmp"
 	"fmt"
+	"maps"
+	"math"
 	"slices"
 )
 
 // Starting values, ours unless a source is named. Times are in nanoseconds, shares and factors have no unit.
 const (
-	waitSpan     = 150 * Millisecond  // step 4: a tokened read waits this long on replicas (the post's MAX_WAIT_MS)
-	pulse        = 5 * Millisecond    // how often open txns are looked at; a few ticks at the coarsest
-	boundMargin  = 0.02               // of a bound, kept in hand: proven positions err on the safe side already
-	holdPart     = 20                 // a write without a primary holds this part of its time between miss rounds
-	fadeLatency  = 2000 * Millisecond // memory of a member's speed: long against one answer, short against a trouble
-	fadeClass    = 5000 * Millisecond // memory of a txn type's service time: steadier than any one member
-	silentMeans  = 12.0               // a member is suspect when its work in flight adds up to this many mean latencies
-	silentLeast  = 4.0                // since its last answer, which itself is this many ago: both are rare by chance
-	trialFirst   = 250 * Millisecond  // a suspect gets a trial read after this span, doubled each time it fails
-	trialLast    = 2000 * Millisecond // up to this one, so that a member that came back is not left idle for long
-	limitStart   = 8.0                // first limit on what is in flight to a member: a few cores' worth
-	limitCut     = 0.8                // share left when a member answers too late for the SLA time
-	lateShare    = 0.4                // of the SLA time: a mean latency above it cuts the limit
-	hopeless     = 1.2                // service times that must be left for a txn to be worth sending
-	rescueMeans  = 2.0                // service times after which a read on a suspect is taken elsewhere
-	copyMeans    = 4.0                // service times after which a read on a healthy member gets a second copy
-	copyShare    = 0.05               // second copies for each submission, at most
-	farPenalty   = 1.15               // a member in another zone must be this much less loaded to be preferred
-	askFirst     = 250 * Millisecond  // list calls that fail are made again after this span, doubled and jittered
-	askSpan      = 200 * Millisecond  // a replica is asked for its position this often at most: about a session's pause
-	askPart      = 8                  // or once in this part of its lag, which it cannot make up sooner
-	reportAge    = 1000 * Millisecond // an answer's word on a role outweighs a report's for this long
-	scanDepth    = 64                 // waiting txns of a type looked at in a round: bounds the work in a jam
-	usualSteps   = 500                // steps of a client's limit in which its usual time for a try is followed
-	longestQuiet = 1000 * Millisecond // a suspect back after longer starts again with a small limit
+	ms = Millisecond
+
+	waitSpan     = 150 * ms  // step 4: the wait of a tokened read (the post's MAX_WAIT_MS)
+	boundMargin  = 0.02      // of a bound, kept in hand: proven positions err on the safe side already
+	holdPart     = 20        // a write with no primary holds this part of its time between rounds of misses
+	askSpan      = 200 * ms  // a replica is asked for its position this often at most: a session's pause
+	askPart      = 8         // or once in this part of its lag, which it cannot make up sooner
+	askFirst     = 250 * ms  // list calls that fail are made again after this, doubled and jittered
+	pulse        = 5 * ms    // how often open txns are looked at: often against any SLA time
+	fadeLatency  = 2000 * ms // memory of a member's speed: long against an answer, short against a trouble
+	fadeClass    = 5000 * ms // memory of a txn type's service time: steadier than any one member
+	silentMeans  = 12.0      // a suspect's work in flight has waited for this many mean latencies in all
+	silentLeast  = 4.0       // and its last answer was this many ago: both are rare by chance
+	trialFirst   = 250 * ms  // a suspect gets a trial read after this, doubled each time it fails
+	trialLast    = 2000 * ms // up to this, so that one that came back is not left idle for long
+	longestQuiet = 1000 * ms // a suspect that is back after longer starts again with a small limit
+	limitStart   = 8.0       // first limit on what is in flight to a member: a few cores' worth
+	limitCut     = 0.8       // share left of a limit when answers come too late
+	lateShare    = 0.4       // of the SLA time: a mean latency above it cuts the limit
+	hopeless     = 1.2       // mean service times that must be left for a txn to be worth sending
+	rescueMeans  = 2.0       // service times after which a read on a suspect is taken elsewhere
+	copyMeans    = 4.0       // service times after which a read on a healthy member gets a second copy
+	copyShare    = 0.05      // second copies for each submission, at most
+	farPenalty   = 1.15      // a member elsewhere must be this much less loaded to be preferred
+	reportAge    = 1000 * ms // an answer's word on a role outweighs a report's for this long
+	scanDepth    = 64        // waiting txns of a row looked at in a round: bounds the work in a jam
+	shedOn       = 10.0      // txns given up within the last seconds that are worth a line in the log
+	usualSteps   = 500       // steps of a client's limit in which its usual time for a try is followed
 )
 
-const (
-	roleUnknown = iota
-	rolePrimary
-	roleReplica
-)
-
-// member is what this gateway knows of one database server.
-type member struct {
-	id                        Server
-	zone, kind                int
-	group                     *group
-	ready, drained, barred    bool // barred: told that it drains or is gone
-	startedAt                 Nanos
-	position, lag             Nanos // proven position; how far behind it was when last heard of
-	lagAt, heardAt            Nanos // when the lag and the position were told
-	lackAt, askedAt           Nanos // when a read last passed it over for want of proof; when it was last asked
-	role                      int
-	roleAt                    Nanos // when an answer told the role last
-	named                     bool  // the list says that it is the primary
-	out                       int   // submissions in flight from here
-	sentSum                   Nanos // sum of the times at which they were sent
-	limit                     float64
-	elapsed, slow, late, ends decaying // sums over answers: latency, latency in service times, in SLA times; count
-	sent                      decaying // service time sent within the span of the rule on cold members
-	quietSince, grownAt       Nanos
-	suspect                   bool
-	suspectAt, trialAt, trial Nanos
-}
-
-// group is one primary, its replicas and the txns that wait for them.
-type group struct {
-	id      int
-	members []*member
-	waiting [][]*txn // by row, in order of arrival: a row for each txn type in time, then one for each that is late
-	scout   *txn     // the write that is trying members in turn
-}
-
-// submission is one try of a txn at a member.
-type submission struct {
-	to        *member
-	at        Nanos
-	over, ran bool // ran: it ended and may have had an effect
-	cancelled bool
-}
-
-// txn is one request of a client, kept until it is answered and its submissions are over.
-type txn struct {
-	id                           uint64
-	class, tenant                int
-	group                        *group
-	session                      uint64
-	token                        Nanos // position that a read must see; 0 is none
-	arrived, aim, expiry, budget Nanos
-	subs                         []submission
-	out                          int
-	waiting, done                bool
-	ranAt                        Nanos // sending of the first submission that may have run
-	waitFrom                     Nanos // step 4's wait began; 0 is not yet
-	passed                       bool  // step 5: the wait is over, only the primary will do
-	pauseTo                      Nanos
-}
-
-// Gateway is one instance of the module.
-type Gateway struct {
-	site     *site
-	now      Nanos
-	rng      pcg
-	members  map[Server]*member
-	order    []*member
-	groups   []*group
-	txns     map[uint64]*txn
-	open     []*txn
-	service  []struct{ sum, n decaying } // by txn type: latency of what was committed
-	usual    []Nanos                     // by txn type: three in four tries get no more time than this
-	ranking  []int                       // rows of waiting txns, most value for each unit of service time first
-	tokens   map[uint64]Nanos            // last commits of sessions, where they are kept here
-	sends    decaying
-	copies   decaying
-	listed   map[Server]bool
-	lines    []string
-	stage    int
-	cursor   int
-	reviewAt Nanos
-	wakeAt   Nanos
-	follows  bool
-	askAt    Nanos
-	askSpan  Nanos
-	shedding bool
-	shed     decaying
-}
-
 // New reads the settings and returns an instance that knows nothing else.
 func New(seed uint64, settings []byte) (*Gateway, error) {
 	s, err := readSite(settings)
@@ -140,7 +55,7 @@
 		return nil, err
 	}
 	g := &Gateway{site: s, rng: newPCG(seed), members: map[Server]*member{}, txns: map[uint64]*txn{},
-		tokens: map[uint64]Nanos{}, listed: map[Server]bool{}, askSpan: askFirst}
+		listed: map[Server]bool{}, askSpan: askFirst}
 	g.service = make([]struct{ sum, n decaying }, len(s.Classes))
 	g.usual = make([]Nanos, len(s.Classes))
 	for i := range 2 * len(s.Classes) {
@@ -153,7 +68,8 @@
 func (g *Gateway) Clock(now Nanos) { g.now, g.stage, g.cursor = now, 0, 0 }
 
 // Arrived takes a txn. age is that of its session's last write, 0 for none or not told.
-func (g *Gateway) Arrived(id uint64, class, tenant int, session uint64, budget, work Nanos, grp int, age Nanos) error {
+func (g *Gateway) Arrived(id uint64, class, tenant int, session uint64, budget, work Nanos, grp int,
+	age Nanos) error {
 	if class >= len(g.site.Classes) {
 		return fmt.Errorf("txn type %d is not in the settings", class)
 	}
@@ -161,8 +77,9 @@
 	t := &txn{id: id, class: class, tenant: tenant, group: g.groupOf(grp), session: session, arrived: g.now,
 		budget: budget, expiry: g.now + budget, waiting: true}
 	t.aim = g.now + c.Aim + Nanos(c.AimStretch*float64(work))
-	// A try that gets less time than is usual is a client's repeat with little of its limit left, which tells how
-	// much of the SLA time went by before. What is usual is a quantile: single tries get more than a first one.
+	// A try that gets less time than is usual is a client's repeat with little of its limit left, which
+	// tells how much of the SLA time went by before. What is usual is a quantile: single tries get more
+	// than a first one.
 	usual, step := &g.usual[class], c.HardLimit/usualSteps
 	switch {
 	case *usual == 0:
@@ -179,12 +96,8 @@
 	case "causal":
 		if age > 0 {
 			t.token = g.now - age
-		} else if at, ok := g.tokens[session]; ok && session != 0 {
+		} else if at := t.group.tokens[session]; at > t.group.passed() {
 			t.token = at
-			if t.group.passed(at) {
-				delete(g.tokens, session) // step 2: every replica is known past it
-				t.token = 0
-			}
 		}
 	case "strong":
 		t.token = g.now
@@ -260,7 +173,8 @@
 	}
 }
 
-// Probed tells what a probe found; a shallow answer shows a position and a role, where reports hold them, not health.
+// Probed tells what a probe found; a shallow answer shows a position and a role, where reports hold
+// them, not health.
 func (g *Gateway) Probed(server Server, r Result, _ Nanos, report []float32) {
 	if m := g.members[server]; m != nil && r == Committed {
 		g.heardReport(m, report)
@@ -278,7 +192,8 @@
 }
 
 // Listed tells one entry of the list; ListEnds follows the last.
-func (g *Gateway) Listed(server Server, grp int, named bool, st Status, zone int, _ float64, kind int, start Nanos) {
+func (g *Gateway) Listed(server Server, grp int, named bool, st Status, zone int, _ float64, kind int,
+	start Nanos) {
 	m := g.members[server]
 	if m == nil {
 		m = &member{id: server, limit: limitStart}
@@ -341,31 +256,21 @@
 	g.askSpan = min(g.askSpan*2, g.site.Rules.AskWithin/4)
 }
 
-// bars tells whether a member may get nothing new. Where the list is no proof of what runs, only a seen drain bars.
+// bars tells whether a member may get nothing new. Where the list is no proof of what runs, only a seen
+// drain bars.
 func (g *Gateway) bars(m *member) bool {
 	return !m.ready && (m.drained || !g.site.Rules.SoftRemoval)
 }
 
-func (g *Gateway) groupOf(id int) *group {
-	for _, grp := range g.groups {
-		if grp.id == id {
-			return grp
-		}
-	}
-	grp := &group{id: id, waiting: make([][]*txn, 2*len(g.site.Classes))}
-	g.groups = append(g.groups, grp)
-	slices.SortFunc(g.groups, func(a, b *group) int { return a.id - b.id })
-	return grp
-}
-
-// passed tells whether every replica is known to have reached a position.
-func (grp *group) passed(at Nanos) bool {
+// passed is the position that every replica is known to have reached, after which a token need not hold (step 2).
+func (grp *group) passed() Nanos {
+	low := Nanos(math.MaxInt64)
 	for _, m := range grp.members {
-		if m.ready && m.role != rolePrimary && m.position < at {
-			return false
+		if m.ready && m.role != rolePrimary {
+			low = min(low, m.position)
 		}
 	}
-	return true
+	return low
 }
 
 // heardNote takes an answer's word on role and position.
@@ -394,7 +299,8 @@
 		switch field {
 		case "x0":
 			if report[i] > 0 {
-				// The figure is rounded to 24 bits: a microsecond in sixteen seconds, so a little is taken off.
+				// The figure is rounded to 24 bits: a microsecond in sixteen seconds, so a little is
+				// taken off.
 				at := g.site.Family.Zero + Millis(float64(report[i])*(1-1e-6)*1000)
 				g.reached(m, at)
 				m.lag, m.lagAt, m.heardAt = min(g.behind(m), g.now-at), g.now, g.now
@@ -415,12 +321,13 @@
 // reached raises a proven position; one that was proven holds for good, through changes of role as well.
 func (g *Gateway) reached(m *member, at Nanos) { m.position = max(m.position, at) }
 
-// proven takes what a committed txn shows: a write its commit, a read that a replica checked its token or bound.
+// proven takes what a committed txn shows: a write its commit, a read that a replica checked its token
+// or bound.
 func (g *Gateway) proven(t *txn, s *submission, m *member, note uint32) {
 	switch g.site.Family.Consistency[t.class] {
 	case "mutate":
 		if at := Nanos(note>>2) * Millisecond; at > 0 && t.session != 0 && g.site.Family.WriteMarks == "kept" {
-			g.tokens[t.session] = max(g.tokens[t.session], g.site.Family.Zero+at)
+			t.group.tokens[t.session] = max(t.group.tokens[t.session], g.site.Family.Zero+at)
 		}
 		return
 	case "lag_bound":
@@ -454,7 +361,8 @@
 	}
 	m.suspect, m.suspectAt, m.trial = true, g.now, trialFirst
 	m.trialAt = g.now + m.trial
-	g.log("member %v suspect: %s, %d in flight, quiet for %d ms", m.id, why, m.out, (g.now-m.quietSince)/Millisecond)
+	quiet := (g.now - m.quietSince) / Millisecond
+	g.log("member %v suspect: %s, %d in flight, quiet for %d ms", m.id, why, m.out, quiet)
 }
 
 // measured takes a committed submission's latency and moves the member's limit: one up, or down by a share.
@@ -483,7 +391,8 @@
 	return (s.sum.read(g.now, fadeClass) + guess) / (s.n.read(g.now, fadeClass) + 1)
 }
 
-// slowness compares a member's latency with what its txns took anywhere; silence with work out counts as it grows.
+// slowness compares a member's latency with what its txns took anywhere; silence with work out counts
+// as it grows.
 func (g *Gateway) slowness(m *member) float64 {
 	return (m.slow.read(g.now, fadeLatency) + 2) / (m.ends.read(g.now, fadeLatency) + 2)
 }
@@ -493,8 +402,6 @@
 	return (m.elapsed.read(g.now, fadeLatency) + guess) / (m.ends.read(g.now, fadeLatency) + 1)
 }
 
-func (g *Gateway) log(format string, a ...any) { g.lines = append(g.lines, fmt.Sprintf(format, a...)) }
-
 func (g *Gateway) queue(t *txn) {
 	row := t.class
 	if t.aim <= g.now {
@@ -569,6 +476,7 @@
 				g.suspects(m, "silent")
 			}
 		}
+		g.tidy()
 		g.open = slices.DeleteFunc(g.open, func(t *txn) bool { return t.done && t.out == 0 })
 	}
 	for g.cursor < len(g.open) {
@@ -582,6 +490,32 @@
 	return Decision{}, false
 }
 
+// tidy prunes tokens and logs changes of mode that no single input brings.
+func (g *Gateway) tidy() {
+	given := g.given.read(g.now, fadeLatency)
+	if given > shedOn && !g.shedding || given < 1 && g.shedding {
+		g.shedding = !g.shedding
+		g.log("giving up unserved txns: %v, %.0f of late", g.shedding, given)
+	}
+	for _, grp := range g.groups {
+		if p := g.primaryOf(grp); p != grp.primary {
+			grp.primary = p
+			if p == nil {
+				g.log("group %d: no primary known", grp.id)
+			} else {
+				g.log("group %d: primary %v, told by an answer: %v", grp.id, p.id, p.role == rolePrimary)
+			}
+		}
+		if g.now-g.sweptAt > fadeClass {
+			low := grp.passed()
+			maps.DeleteFunc(grp.tokens, func(_ uint64, at Nanos) bool { return at <= low })
+		}
+	}
+	if g.now-g.sweptAt > fadeClass {
+		g.sweptAt = g.now
+	}
+}
+
 func (g *Gateway) reviewTxn(t *txn) (Decision, bool) {
 	c := &g.site.Classes[t.class]
 	if t.done {
@@ -621,7 +555,8 @@
 	return Decision{}, false
 }
 
-// rescues tells whether a txn in flight should be tried elsewhere: its member is suspect, or it takes far too long.
+// rescues tells whether a txn in flight should be tried elsewhere: its member is suspect, or it takes
+// far too long.
 func (g *Gateway) rescues(t *txn, s *submission) bool {
 	if len(t.subs) >= g.site.Limits.MaxAttempts {
 		return false
@@ -666,6 +601,7 @@
 // giveUp answers a txn for good: declined where a retry can do no harm, else rolled back.
 func (g *Gateway) giveUp(t *txn) Decision {
 	t.done, t.waiting = true, false
+	g.given.add(g.now, fadeLatency, 1)
 	if t.out == 0 {
 		delete(g.txns, t.id)
 	}
@@ -783,7 +719,8 @@
 		return g.spare(t, p)
 	}
 	if checked && !t.passed {
-		// Step 4 where replicas check: their hold is the wait. One that cannot make it within that is left alone.
+		// Step 4 where replicas check: their hold is the wait. One that cannot make it within that is
+		// left alone.
 		m = g.pick(t, func(m *member) bool { return m != p && g.now-g.behind(m)+g.site.Family.Hold >= floor })
 		if m != nil {
 			return m
@@ -810,8 +747,9 @@
 	return nil
 }
 
-// spare is the primary for a read, as far as its writes leave room: none while writes wait here, and less the nearer
-// its latency comes to what cuts the limit, so that the reads of all gateways make way before anyone's writes have to.
+// spare is the primary for a read, as far as its writes leave room: none while writes wait here, and
+// less the nearer its latency comes to what cuts the limit, so that the reads of all gateways make way
+// before anyone's writes have to.
 func (g *Gateway) spare(t *txn, p *member) *member {
 	if p == nil || p.suspect || !g.room(p, t) || (p.role != rolePrimary && g.site.Family.WhenBehind == "none") {
 		return nil
@@ -834,20 +772,26 @@
 		if r := g.detour(t); write && r != nil {
 			return r
 		}
-		if (write || p.role == rolePrimary || g.site.Family.WhenBehind != "none") && g.room(p, t) && !t.tried(p, g.now-pulse) {
+		sure := write || p.role == rolePrimary || g.site.Family.WhenBehind != "none"
+		if sure && g.room(p, t) && !t.tried(p, g.now-pulse) {
 			return p
 		}
 		return nil
 	}
-	grp := t.group
+	grp, hold := t.group, t.budget/holdPart
+	if s := grp.scout; s != nil && s.out > 0 && g.now-s.subs[len(s.subs)-1].at > hold {
+		grp.scout = nil // a miss comes at once: this one runs, or its member hangs
+	}
 	if (grp.scout != nil && grp.scout != t) || (!write && g.site.Family.WhenBehind == "none") ||
 		2*len(t.subs) >= g.site.Limits.MaxAttempts {
 		return nil
 	}
 	var best *member
 	for _, m := range grp.members {
-		// Who has just said that it is a replica, to any txn, is not asked again: that is the pause after a round.
-		if m == p || m.barred || m.suspect || (m.role == roleReplica && g.now-m.roleAt < t.budget/holdPart) {
+		// Who has just said that it is a replica, to any txn, is not asked again: that is the pause
+		// after a round.
+		asked := g.now-m.askedAt < hold || m.role == roleReplica && g.now-m.roleAt < hold
+		if m == p || m.barred || m.suspect || asked {
 			continue
 		}
 		if best == nil || (m.named && !best.named) || (m.named == best.named && m.position > best.position) {
@@ -858,17 +802,18 @@
 		best = p // no read came that could have been its trial
 	}
 	if best != nil {
-		grp.scout = t
+		grp.scout, best.askedAt = t, g.now
 	}
 	return best
 }
 
-// behind guesses how far a member lags: as last heard, and less the longer ago that was, so that a lag which nobody
-// tells the end of is tried again. No read that a server does not check relies on it.
+// behind guesses how far a member lags: as last heard, and less the longer ago that was, so that a lag
+// which nobody tells the end of is tried again. No read that a server does not check relies on it.
 func (g *Gateway) behind(m *member) Nanos { return max(0, m.lag-(g.now-m.lagAt)) }
 
-// unheard is a replica that reads passed over for want of proof and that should be asked for its position: without
-// that, one which gets no reads for want of proof would never be known to have caught up.
+// unheard is a replica that reads passed over for want of proof and that should be asked for its
+// position: without that, one which gets no reads for want of proof would never be known to have caught
+// up.
 func (g *Gateway) unheard(members []*member) *member {
 	var best *member
 	for _, m := range members {
@@ -888,7 +833,8 @@
 
 // probe asks by probes where their reports hold a position.
 func (g *Gateway) probe() (Decision, bool) {
-	if !g.site.Limits.Probes || g.site.LoadReport.How == "none" || !slices.Contains(g.site.LoadReport.Fields, "x0") {
+	shown := g.site.LoadReport.How != "none" && slices.Contains(g.site.LoadReport.Fields, "x0")
+	if !g.site.Limits.Probes || !shown {
 		return Decision{}, false
 	}
 	if m := g.unheard(g.order); m != nil {
@@ -897,7 +843,8 @@
 	return Decision{}, false
 }
 
-// detour sends a write by an unheard replica, whose miss runs nothing and tells its position, where no report does.
+// detour sends a write by an unheard replica, whose miss runs nothing and tells its position, where no
+// report does.
 func (g *Gateway) detour(t *txn) *member {
 	if g.site.Family.WhenBehind != "none" || !g.site.Family.AnswersStamped || len(t.subs) > 0 ||
 		g.site.LoadReport.How != "none" || g.site.Limits.MaxAttempts < 4 {
@@ -910,11 +857,6 @@
 	return m
 }
 
-// tried tells whether the txn was sent to a member at or after a time.
-func (t *txn) tried(m *member, since Nanos) bool {
-	return slices.ContainsFunc(t.subs, func(s submission) bool { return s.to == m && s.at >= since })
-}
-
 // pick is the least loaded member with room among those that will do.
 func (g *Gateway) pick(t *txn, will func(*member) bool) *member {
 	var best *member
@@ -959,9 +901,10 @@
 	return true
 }
 
-// warmEnough keeps a cold member from being pushed over. It may get the share that its age assures it can do of what
-// its busiest warm peer gets from here. All gateways together then send it little more than that share of what a warm
-// one carries, however uneven their traffic is; its limit, which starts at one, sees to the first moments.
+// warmEnough keeps a cold member from being pushed over. It may get the share that its age assures it
+// can do of what its busiest warm peer gets from here. All gateways together then send it little more
+// than that share of what a warm one carries, however uneven their traffic is; its limit, which starts
+// at one, sees to the first moments.
 func (g *Gateway) warmEnough(m *member) bool {
 	r := &g.site.Rules
 	age := g.now - m.startedAt
--- /dev/null
+++ b/decide/decide_test.go
@@ -0,0 +1,301 @@
+package decide
+
+// Step 3: a tokened read goes to the replica that is known to have reached its token.
+func Example_provenReplica() {
+	t := open().list("a b c")
+	t.txn(1, 3, 0).pull().end(1, 0, "a", Committed, 1, 10000).pull()
+	t.at(10100).txn(2, 2, 0).txn(3, 2, 0).pull().end(2, 0, "b", Committed, 2, 10090).end(3, 0, "c", Committed, 2, 9000)
+	t.at(10200).txn(4, 0, 150).txn(5, 0, 150).pull()
+	// Output:
+	// 10000 submit 1 to a
+	//  10100 submit 2 to b
+	//  10100 submit 3 to c
+	//  10200 submit 4 to b
+	//  10200 submit 5 to b
+}
+
+// Steps 4 and 5 where servers do not check: wait for word of a replica, then the primary; never an unproven one.
+func Example_waitThenPrimary() {
+	t := open("await", "none").list("a* b c")
+	t.txn(1, 0, 50).run(10150) // a is only named primary: a guess, not good enough for a read
+	t.txn(2, 3, 0).pull().end(2, 0, "b", Missed, 2, 9000).pull().end(2, 1, "a", Committed, 1, 10150).pull()
+	t.at(10400).txn(3, 0, 50).pull().at(10450).txn(4, 2, 0).pull().end(4, 0, "b", Committed, 2, 10440).pull()
+	t.at(10500).txn(5, 0, 40).run(10650)
+	// Output:
+	// 10150 submit 2 to b
+	//  10150 submit 2 to a
+	//  10150 submit 1 to a
+	//  10450 submit 4 to b
+	//  10450 submit 3 to b
+	//  10650 submit 5 to a
+}
+
+// Step 4 where servers check: their hold is the wait, their miss ends it, and the primary is step 5.
+func Example_missThenPrimary() {
+	t := open().list("a* b c")
+	t.txn(1, 0, 50).pull().at(10025).end(1, 0, "b", Missed, 2, 9000).pull()
+	// Output:
+	// 10000 submit 1 to b
+	//  10025 submit 1 to a
+}
+
+// Step 6: a bounded read needs a replica inside the bound, as proven.
+func Example_bounded() {
+	t := open("await", "none").list("a* b c").txn(1, 3, 0).pull()
+	t.end(1, 0, "a", Committed, 1, 10000).txn(2, 2, 0).txn(3, 2, 0).pull()
+	t.end(2, 0, "b", Committed, 2, 9990).end(3, 0, "c", Committed, 2, 9000)
+	t.txn(4, 1, 0).txn(5, 1, 0).pull().at(10400).txn(6, 1, 0).pull()
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 submit 2 to b
+	//  10000 submit 3 to c
+	//  10000 submit 4 to b
+	//  10000 submit 5 to b
+	//  10400 cancel 4/0
+	//  10400 cancel 5/0
+	//  10400 submit 6 to a
+}
+
+// Step 1 without a primary: members in turn, one scout at a time, then a short hold.
+func Example_membersInTurn() {
+	t := open().list("a b").txn(1, 3, 0).txn(2, 3, 0).pull()
+	t.at(10010).end(1, 0, "a", Missed, 2, 10000).pull()
+	t.at(10020).end(2, 0, "b", Missed, 2, 10000).pull().run(10100)
+	t.end(1, 1, "a", Committed, 1, 10100).pull()
+	// Output:
+	// 10000 submit 1 to a
+	//  10010 submit 2 to b
+	//  10060 submit 1 to a
+	//  10100 submit 2 to a
+}
+
+// Once-only: a second submission or a decline only when the first cannot have run.
+func Example_onceOnly() {
+	t := open().list("a* b").txn(1, 3, 0).txn(2, 3, 0).txn(3, 3, 0).pull()
+	t.at(10100).end(1, 0, "a", TimedOut, 0, 0).end(2, 0, "a", Full, 1, 10090).pull().run(10110)
+	t.run(11000)
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 submit 2 to a
+	//  10000 submit 3 to a
+	//  10100 roll back 1
+	//  10100 submit 2 to a
+	//  10990 roll back 2
+	//  10990 roll back 3
+}
+
+// Referenced: sent again within the window, rolled back after it, since its group alone drops a repeat.
+func Example_window() {
+	t := open().list("a* b").txn(1, 4, 0).txn(2, 4, 0).pull()
+	t.at(10100).end(1, 0, "a", Failed, 2, 0).pull().end(1, 1, "b", Missed, 1, 10100).pull()
+	t.at(10850).end(2, 0, "a", Broken, 0, 0).pull()
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 submit 2 to a
+	//  10100 submit 1 to b
+	//  10850 roll back 1
+	//  10850 roll back 2
+}
+
+// Drains: nothing goes to a member from the moment that the list bars it, nor to one that a whole list lacks.
+func Example_drain() {
+	t := open().list("a b c").list("a- b").txn(1, 2, 0).txn(2, 2, 0).txn(3, 3, 0).pull()
+	soft := open(`"tickMs"`, `"x":0,"tickMs"`, `"coldFrom"`, `"softRemoval":true,"coldFrom"`)
+	soft.list("a b").list("a-").txn(4, 2, 0).txn(5, 2, 0).pull()
+	t.at(10100).list("a b").txn(6, 3, 0).pull()
+	// Output:
+	// 10000 submit 3 to b
+	//  10000 submit 1 to b
+	//  10000 submit 2 to b
+	//  10000 submit 4 to b
+	//  10000 submit 5 to b
+	//  10100 submit 6 to a
+}
+
+// A cold member gets a share of what its busiest warm peer gets; a fresh one starts with one submission.
+func Example_cold() {
+	t := open().list("a b!")
+	for id := uint64(1); id <= 12; id++ {
+		t.txn(id, 2, 0)
+	}
+	t.pull()
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 submit 2 to b
+	//  10000 submit 3 to a
+	//  10000 submit 4 to a
+	//  10000 submit 5 to a
+	//  10000 submit 6 to a
+	//  10000 submit 7 to a
+	//  10000 submit 8 to a
+	//  10000 submit 9 to a
+}
+
+// Silence with work out makes a member suspect; its reads move, it keeps a trickle of trials, an answer clears it.
+func Example_silence() {
+	t := open().list("a b")
+	for id := uint64(1); id <= 8; id++ {
+		t.txn(id, 2, 0)
+	}
+	t.pull().at(10020).end(2, 0, "a", Committed, 2, 10000)
+	t.quiet = false
+	t.run(10700)
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 submit 2 to b
+	//  10000 submit 3 to a
+	//  10000 submit 4 to b
+	//  10000 submit 5 to a
+	//  10000 submit 6 to b
+	//  10000 submit 7 to a
+	//  10000 submit 8 to b
+	//  10220 cancel 1/0
+	//  10220 cancel 3/0
+	//  10220 cancel 5/0
+	//  10220 cancel 7/0
+	//  10220 log: member [97 0 0 0 0 0] suspect: silent, 3 in flight, quiet for 200 ms
+	//  10310 cancel 4/0
+	//  10310 cancel 6/0
+	//  10310 cancel 8/0
+	//  10310 log: member [98 0 0 0 0 0] suspect: silent, 4 in flight, quiet for 310 ms
+}
+
+// A suspect primary gets reads as trials: without them nothing would show that it answers again.
+func Example_suspectPrimary() {
+	t := open().list("a* b").txn(1, 3, 0).pull().at(10010).end(1, 0, "a", Committed, 1, 10000)
+	t.txn(2, 3, 0).pull().at(10020).end(2, 0, "a", Unreachable, 0, 0).pull()
+	t.txn(3, 2, 0).at(10300).txn(4, 2, 0).txn(5, 3, 0).pull()
+	t.at(10320).end(4, 0, "a", Committed, 1, 10310).pull()
+	// Output:
+	// 10000 submit 1 to a
+	//  10010 submit 2 to a
+	//  10020 submit 2 to b
+	//  10300 decline 3
+	//  10300 submit 5 to b
+	//  10300 submit 4 to a
+}
+
+// When every member is suspect the fault is likely nearer, and none is avoided.
+func Example_allSuspect() {
+	t := open().list("a b").txn(1, 2, 0).txn(2, 2, 0).pull()
+	t.end(1, 0, "a", Unreachable, 0, 0).end(2, 0, "b", Unreachable, 0, 0).pull()
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 submit 2 to b
+	//  10000 submit 1 to a
+	//  10000 submit 2 to b
+}
+
+// Two members claim the role: the newest answer wins, and a miss ends a claim at once.
+func Example_twoPrimaries() {
+	t := open().list("a b").txn(1, 2, 0).txn(2, 2, 0).pull()
+	t.end(1, 0, "a", Committed, 1, 9990).end(2, 0, "b", Committed, 1, 9990).txn(3, 3, 0).pull()
+	t.at(10010).end(3, 0, "b", Missed, 2, 10000).pull()
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 submit 2 to b
+	//  10000 submit 3 to b
+	//  10010 submit 3 to a
+}
+
+// Kept tokens hold until every replica is known past them, then any replica will do again.
+func Example_keptToken() {
+	t := open("brought", "kept").list("a* b c").txn(1, 3, 0).pull().at(10010).end(1, 0, "a", Committed, 1, 10005)
+	t.txn(2, 0, 0).pull().at(10050).end(2, 0, "b", Committed, 2, 10020).pull()
+	t.txn(3, 0, 0).txn(4, 2, 0).pull().at(10060).end(4, 0, "c", Committed, 2, 10030).txn(5, 0, 0).pull()
+	// Output:
+	// 10000 submit 1 to a
+	//  10010 submit 2 to b
+	//  10050 submit 3 to b
+	//  10050 submit 4 to c
+	//  10060 submit 5 to c
+}
+
+// A client's repeat with too little of its limit left for the SLA time waits for the others.
+func Example_lateRepeat() {
+	t := open().list("a")
+	for id := uint64(1); id <= 6; id++ {
+		t.txn(id, 2, 0)
+	}
+	t.g.Arrived(7, 2, 0, 7, Millis(300), 0, 0, 0)
+	t.txn(8, 2, 0).pull()
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 submit 2 to a
+	//  10000 submit 3 to a
+	//  10000 submit 4 to a
+	//  10000 submit 5 to a
+	//  10000 submit 6 to a
+	//  10000 submit 8 to a
+}
+
+// A replica that reads pass over is asked: by a probe where reports show positions, else by a write on its way.
+func Example_unheard() {
+	t := open("await", "none").list("a* b c").txn(1, 3, 0).pull().at(10010).end(1, 0, "a", Committed, 1, 10005)
+	t.txn(2, 1, 0).txn(3, 3, 0).pull().at(10015).end(3, 0, "b", Missed, 2, 10010).pull()
+	probes := open(`"how":"none","fields":[]`, `"how":"probe","fields":["x0","x1"]`, `"probes":false`, `"probes":true`)
+	probes.list("a* b").txn(4, 1, 0).pull().at(10100).txn(5, 1, 0).pull()
+	probes.at(10210).g.Probed(Server{'b'}, Committed, Millis(3), []float32{10.2, 0})
+	probes.txn(6, 1, 0).pull()
+	// Output:
+	// 10000 submit 1 to a
+	//  10010 submit 3 to a
+	//  10010 submit 2 to a
+	//  10000 submit 4 to b
+	//  10000 probe b
+	//  10100 submit 5 to b
+	//  10210 submit 6 to b
+}
+
+// Reads make way on a primary whose writes wait or whose latency rises.
+func Example_writesFirst() {
+	t := open("await", "none").list("a*").txn(1, 3, 0).pull().at(10250).end(1, 0, "a", Committed, 1, 10240)
+	for id := uint64(2); id <= 7; id++ {
+		t.txn(id, 1, 0)
+	}
+	t.pull().txn(8, 3, 0).txn(9, 3, 0).pull()
+	// Output:
+	// 10000 submit 1 to a
+	//  10250 submit 2 to a
+	//  10250 submit 3 to a
+	//  10250 submit 4 to a
+	//  10250 submit 5 to a
+	//  10250 submit 6 to a
+	//  10250 submit 7 to a
+	//  10250 submit 8 to a
+	//  10250 submit 9 to a
+}
+
+// The list must be asked for: calls that fail are made again, later each time, and well within the rule's time.
+func Example_ask() {
+	t := open(`"push"`, `"ask"`)
+	t.quiet = false
+	t.g.Listed(Server{'a'}, 0, false, Ready, 0, 1, 0, 0)
+	t.g.ListEnds(CachedList)
+	t.run(10300).g.ListFailed()
+	t.run(11000).g.ListFailed()
+	t.run(12000).g.ListEnds(Delta)
+	t.run(12050)
+	// Output:
+	// 10090 follow the list
+	//  10530 follow the list
+	//  11270 follow the list
+	//  12010 log: list followed, 1 members
+}
+
+// Every txn gets one final answer before its time is up, and what comes later changes nothing.
+func Example_finalAnswer() {
+	t := open().list("a").txn(1, 2, 0).txn(2, 3, 0).txn(3, 0, 5).pull()
+	t.run(11000).end(1, 0, "a", TimedOut, 0, 0).end(2, 0, "a", Committed, 1, 10900).pull()
+	t.txn(4, 9, 0)
+	// Output:
+	// 10000 submit 2 to a
+	//  10000 submit 3 to a
+	//  10000 submit 1 to a
+	//  10310 cancel 1/0
+	//  10310 cancel 3/0
+	//  10990 decline 1
+	//  10990 roll back 2
+	//  10990 decline 3
+	// txn type 9 is not in the settings
+}
--- a/decide/interface.go
+++ b/decide/interface.go
@@ -5,7 +5,8 @@
 	"math"
 )
 
-// Nanos is a time on the host's clock or a span, in whole nanoseconds; in settings it is written in milliseconds.
+// Nanos is a time on the host's clock or a span, in whole nanoseconds; in settings it is written in
+// milliseconds.
 type Nanos int64
 
 // Millisecond is the unit of settings.
--- a/decide/state.go
+++ b/decide/state.go
@@ -1,6 +1,10 @@
 package decide
 
-import "math"
+import (
+	"fmt"
+	"math"
+	"slices"
+)
 
 // pcg is the permuted congruential generator PCG-XSH-RR 64/32 (O'Neill 2014).
 type pcg struct{ state uint64 }
@@ -37,3 +41,115 @@
 }
 
 func (d *decaying) add(now, fade Nanos, x float64) { d.sum = d.read(now, fade) + x }
+
+const (
+	roleUnknown = iota
+	rolePrimary
+	roleReplica
+)
+
+// member is what this gateway knows of one database server.
+type member struct {
+	id                        Server
+	zone, kind                int
+	group                     *group
+	ready, drained, barred    bool // barred: told that it drains or is gone
+	startedAt                 Nanos
+	position, lag             Nanos // proven position; how far behind it was when last heard of
+	lagAt, heardAt            Nanos // when the lag and the position were told
+	lackAt, askedAt           Nanos // when a read last passed it over for want of proof; when it was last asked
+	role                      int
+	roleAt                    Nanos // when an answer told the role last
+	named                     bool  // the list says that it is the primary
+	out                       int   // submissions in flight from here
+	sentSum                   Nanos // sum of the times at which they were sent
+	limit                     float64
+	elapsed, slow, late, ends decaying // over answers: latency; in service times; in SLA times; their count
+	sent                      decaying // service time sent within the span of the rule on cold members
+	quietSince, grownAt       Nanos
+	suspect                   bool
+	suspectAt, trialAt, trial Nanos
+}
+
+// group is one primary, its replicas and the txns that wait for them.
+type group struct {
+	id      int
+	members []*member
+	waiting [][]*txn         // by row: one for each txn type in time, then one for each that is late
+	scout   *txn             // the write that is trying members in turn
+	primary *member          // as last logged
+	tokens  map[uint64]Nanos // last commits of sessions, where they are kept here
+}
+
+// submission is one try of a txn at a member.
+type submission struct {
+	to        *member
+	at        Nanos
+	over, ran bool // ran: it ended and may have had an effect
+	cancelled bool
+}
+
+// txn is one request of a client, kept until it is answered and its submissions are over.
+type txn struct {
+	id                           uint64
+	class, tenant                int
+	group                        *group
+	session                      uint64
+	token                        Nanos // position that a read must see; 0 is none
+	arrived, aim, expiry, budget Nanos
+	subs                         []submission
+	out                          int
+	waiting, done                bool
+	ranAt                        Nanos // sending of the first submission that may have run
+	waitFrom                     Nanos // step 4's wait began; 0 is not yet
+	passed                       bool  // step 5: the wait is over, only the primary will do
+	pauseTo                      Nanos
+}
+
+// Gateway is one instance of the module.
+type Gateway struct {
+	site     *site
+	now      Nanos
+	rng      pcg
+	members  map[Server]*member
+	order    []*member
+	groups   []*group
+	txns     map[uint64]*txn
+	open     []*txn
+	service  []struct{ sum, n decaying } // by txn type: latency of what was committed
+	usual    []Nanos                     // by txn type: three in four tries get no more time than this
+	ranking  []int                       // rows of waiting txns, most value for each unit of service time first
+	sends    decaying
+	copies   decaying
+	listed   map[Server]bool
+	lines    []string
+	stage    int
+	cursor   int
+	reviewAt Nanos
+	wakeAt   Nanos
+	follows  bool
+	askAt    Nanos
+	askSpan  Nanos
+	sweptAt  Nanos
+	shedding bool
+	given    decaying // txns given up unserved
+}
+
+func (g *Gateway) groupOf(id int) *group {
+	for _, grp := range g.groups {
+		if grp.id == id {
+			return grp
+		}
+	}
+	grp := &group{id: id, waiting: make([][]*txn, 2*len(g.site.Classes)), tokens: map[uint64]Nanos{}}
+	g.groups = append(g.groups, grp)
+	slices.SortFunc(g.groups, func(a, b *group) int { return a.id - b.id })
+	return grp
+}
+
+func (g *Gateway) log(format string, a ...any) { g.lines = append(g.lines, fmt.Sprintf(format, a...)) }
+
+// tried tells whether the txn was sent to a member at or after a time.
+func (t *txn) tried(m *member, since Nanos) bool {
+	return slices.ContainsFunc(t.subs, func(s submission) bool { return s.to == m && s.at >= since })
+}
--- /dev/null
+++ b/decide/trace_test.go
@@ -0,0 +1,109 @@
+package decide
+
+import (
+	"fmt"
+	"strings"
+)
+
+// trace drives one instance and prints what it decides, a line for each decision.
+type trace struct {
+	g     *Gateway
+	clock float64
+	quiet bool // no log lines
+}
+
+const traceSite = `{"classes":[
+ {"effect":"repeatable","promiseMs":300,"hardLimitMs":1000,"worth":2,"name":"session"},
+ {"effect":"repeatable","promiseMs":300,"hardLimitMs":1000,"worth":1,"name":"bounded"},
+ {"effect":"repeatable","promiseMs":300,"hardLimitMs":1000,"worth":1,"name":"any"},
+ {"effect":"once","promiseMs":500,"hardLimitMs":2000,"worth":4,"lateValue":0.5,"name":"once"},
+ {"effect":"by_key","group":"cell","windowMs":800,"promiseMs":500,"hardLimitMs":2000,"worth":4,"lateValue":0.5,"name":"keyed"}],
+ "familyInfo":{"consistency":["causal","lag_bound","eventual","mutate","mutate"],"oldestDataMs":[0,300,0,0,0],
+  "whenBehind":"await","writeMarks":"brought","roleInList":"none","countedFromMs":0,"waitMs":20,"answersStamped":true},
+ "fleetSize":2,"limits":{"cancelling":true,"maxAttempts":8,"mayDuplicate":false,"probes":false,"retryAfter":true},
+ "loadReport":{"how":"none","fields":[]},"locality":0,"membershipMode":"push","parties":[],
+ "rules":{"askWithinMs":10000,"coldFrom":0.2,"coldMs":10000,"drainGraceMs":250,"fallMultiple":2,"overloadForMs":1000},
+ "tickMs":5}`
+
+// open starts an instance at 10 s under traceSite with old, new pairs replaced.
+func open(changes ...string) *trace {
+	g, err := New(1, []byte(strings.NewReplacer(changes...).Replace(traceSite)))
+	if err != nil {
+		panic(err)
+	}
+	t := &trace{g: g, quiet: true}
+	t.at(10000)
+	return t
+}
+
+func (t *trace) at(ms float64) *trace {
+	t.clock = ms
+	t.g.Clock(Millis(ms))
+	return t
+}
+
+// list tells the whole list: a letter for each member, followed by * for a named primary, - for draining, ! for cold.
+func (t *trace) list(members string) *trace {
+	for _, m := range strings.Fields(members) {
+		st, start := Ready, Nanos(0)
+		if strings.Contains(m, "-") {
+			st = Draining
+		}
+		if strings.Contains(m, "!") {
+			start = Millis(t.clock)
+		}
+		t.g.Listed(Server{m[0]}, 0, strings.Contains(m, "*"), st, 0, 1, 0, start)
+	}
+	t.g.ListEnds(FullList)
+	return t
+}
+
+// txn brings a txn with a second of time and a session whose last write is age old.
+func (t *trace) txn(id uint64, class int, age float64) *trace {
+	if err := t.g.Arrived(id, class, 0, 7, Millis(1000), 0, 0, Millis(age)); err != nil {
+		fmt.Println(err)
+	}
+	return t
+}
+
+// end tells how submission no of a txn ended at a member after 20 ms, with the note's role and position.
+func (t *trace) end(id uint64, no int, m string, r Result, role int, position float64) *trace {
+	over := r == Committed
+	t.g.Ended(id, no, Server{m[0]}, r, Millis(20), uint32(position)*4+uint32(role), over, nil)
+	return t
+}
+
+// pull prints the round's decisions.
+func (t *trace) pull() *trace {
+	line := func(format string, a ...any) { fmt.Printf("%6.0f "+format+"\n", append([]any{t.clock}, a...)...) }
+	t.g.Clock(Millis(t.clock))
+	for d, ok := t.g.Next(); ok; d, ok = t.g.Next() {
+		switch d.Kind {
+		case Submit:
+			line("submit %d to %c", d.Txn, d.Server[0])
+		case Decline:
+			line("decline %d", d.Txn)
+		case RollBack:
+			line("roll back %d", d.Txn)
+		case Cancel:
+			line("cancel %d/%d", d.Txn, d.No)
+		case Probe:
+			line("probe %c", d.Server[0])
+		case Follow:
+			line("follow the list")
+		case Log:
+			if !t.quiet {
+				line("log: %s", d.Text)
+			}
+		}
+	}
+	return t
+}
+
+// run lets the time pass in steps of 10 ms and prints what is decided.
+func (t *trace) run(until float64) *trace {
+	for t.clock < until {
+		t.at(t.clock + 10).pull()
+	}
+	return t
+}
