Cold budget from the busier half of like peers over five seconds; other kinds as a last guide

Covers rolling replacements and losses of a zone. Harm: a cold primary of a busy group holds writes back for longer.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -45,6 +45,7 @@
 	reportAge    = 1000 * ms // an answer's word on a role outweighs a report's for this long
 	scanDepth    = 64        // waiting txns of a row looked at in a round: bounds the work in a jam
 	shedOn       = 10.0      // txns given up within the last seconds that are worth a line in the log
+	coldPart     = 0.5       // of the multiple at which a cold member falls over: what may be planned for
 	usualSteps   = 500       // steps of a client's limit in which its usual time for a try is followed
 )
 
@@ -65,7 +66,12 @@
 }
 
 // Clock begins a round.
-func (g *Gateway) Clock(now Nanos) { g.now, g.stage, g.cursor = now, 0, 0 }
+func (g *Gateway) Clock(now Nanos) {
+	if g.startedAt == 0 {
+		g.startedAt = now
+	}
+	g.now, g.stage, g.cursor = now, 0, 0
+}
 
 // Arrived takes a txn. age is that of its session's last write, 0 for none or not told.
 func (g *Gateway) Arrived(id uint64, class, tenant int, session uint64, budget, work Nanos, grp int,
@@ -663,6 +669,7 @@
 	}
 	g.sends.add(g.now, fadeClass, 1)
 	m.sent.add(g.now, g.site.Rules.OverloadFor, g.expected(t.class))
+	m.carried.add(g.now, fadeClass, g.expected(t.class))
 	t.subs = append(t.subs, submission{to: m, at: g.now})
 	t.out++
 	m.out++
@@ -901,23 +908,47 @@
 	return true
 }
 
-// warmEnough keeps a cold member from being pushed over. It may get the share that its age assures it
-// can do of what its busiest warm peer gets from here. All gateways together then send it little more
-// than that share of what a warm one carries, however uneven their traffic is; its limit, which starts
-// at one, sees to the first moments.
+// warmEnough keeps a cold member from being pushed over. It may get the share that its age assures it can do of what
+// the busier half of its warm peers got from here of late. A mean over a long span is nearly additive, so all gateways
+// together send it little more than that share of what a warm one carries, however uneven their traffic is; the
+// busiest peer's figure of a second is not, and pushed a member over where many gateways had little traffic each.
 func (g *Gateway) warmEnough(m *member) bool {
 	r := &g.site.Rules
 	age := g.now - m.startedAt
 	if m.startedAt == 0 || age >= r.Cold {
 		return true
 	}
-	share := r.ColdFrom + (1-r.ColdFrom)*max(0, float64(age)/float64(r.Cold))
-	var peers, n float64
+	// Nearest guides first: of its kind and role, of its kind, any; another kind may be larger.
+	var guides [3][]float64
+	seen := -float64(fadeClass) * math.Expm1(-float64(g.now-g.startedAt)/float64(fadeClass))
 	for _, o := range g.order {
-		if o.kind == m.kind && !o.barred && !o.suspect && (o.startedAt == 0 || g.now-o.startedAt >= r.Cold) {
-			peers, n = max(peers, o.sent.read(g.now, r.OverloadFor)), n+1
+		if o.barred || o.suspect || o.startedAt > 0 && g.now-o.startedAt < r.Cold {
+			continue
+		}
+		sent := o.carried.read(g.now, fadeClass) * float64(r.OverloadFor) / max(seen, float64(r.OverloadFor))
+		switch {
+		case o.kind != m.kind:
+			guides[2] = append(guides[2], sent/r.FallMultiple)
+		case o.role == rolePrimary && m.role == rolePrimary:
+			guides[0] = append(guides[0], sent)
+			fallthrough
+		default:
+			guides[1] = append(guides[1], sent)
 		}
 	}
+	same := guides[2]
+	for _, i := range []int{1, 0} {
+		if len(guides[i]) > 0 {
+			same = guides[i]
+		}
+	}
+	slices.Sort(same)
+	same = same[len(same)/2:]
+	peers := 0.0
+	for _, sent := range same {
+		peers += sent / float64(len(same))
+	}
+	share := r.ColdFrom + (1-r.ColdFrom)*max(0, float64(age)/float64(r.Cold))
 	mine := m.sent.read(g.now, r.OverloadFor)
-	return m.out == 0 && mine < g.expected(0) || n > 0 && mine < share*peers
+	return m.out == 0 && mine < share*g.expected(0) || mine < coldPart*r.FallMultiple*share*peers
 }
