--- a/decide/decide.go
+++ b/decide/decide.go
@@ -59,7 +59,7 @@
 		listed: map[Server]bool{}, askSpan: askFirst}
 	g.service = make([]struct{ sum, n decaying }, len(s.Classes))
 	g.usual = make([]Nanos, len(s.Classes))
-	for i := range 2 * len(s.Classes) {
+	for i := range 3 * len(s.Classes) {
 		g.ranking = append(g.ranking, i)
 	}
 	return g, nil
@@ -408,9 +408,14 @@
 	return (m.elapsed.read(g.now, fadeLatency) + guess) / (m.ends.read(g.now, fadeLatency) + 1)
 }
 
+// queue puts a txn into its row. Reads that any replica can serve have rows of their own, so that they do not wait
+// behind those that find no replica fresh enough.
 func (g *Gateway) queue(t *txn) {
 	row := t.class
-	if t.aim <= g.now {
+	switch {
+	case t.aim <= g.now:
+		row += 2 * len(g.site.Classes)
+	case t.token == 0 && g.site.Family.Consistency[t.class] == "causal":
 		row += len(g.site.Classes)
 	}
 	t.waiting = true
@@ -626,10 +631,10 @@
 func (g *Gateway) rowValue(row int) float64 {
 	n := len(g.site.Classes)
 	c := &g.site.Classes[row%n]
-	if row >= n {
+	if row >= 2*n {
 		return c.Worth * c.LateValue / g.expected(row%n)
 	}
-	return c.Worth / g.expected(row)
+	return c.Worth / g.expected(row%n)
 }
 
 // dispatch sends waiting txns, group by group, those of most value for their service time first.
--- a/decide/state.go
+++ b/decide/state.go
@@ -76,7 +76,7 @@
 type group struct {
 	id      int
 	members []*member
-	waiting [][]*txn         // by row: one for each txn type in time, then one for each that is late
+	waiting [][]*txn         // by row: for each txn type those in time, those of them that need no proof, the late
 	scout   *txn             // the write that is trying members in turn
 	primary *member          // as last logged
 	tokens  map[uint64]Nanos // last commits of sessions, where they are kept here
@@ -143,7 +143,7 @@
 			return grp
 		}
 	}
-	grp := &group{id: id, waiting: make([][]*txn, 2*len(g.site.Classes)), tokens: map[uint64]Nanos{}}
+	grp := &group{id: id, waiting: make([][]*txn, 3*len(g.site.Classes)), tokens: map[uint64]Nanos{}}
 	g.groups = append(g.groups, grp)
 	slices.SortFunc(g.groups, func(a, b *group) int { return a.id - b.id })
 	return grp
