Limits are cut between the uncrowded latency and the SLA time, sooner on a lagging replica

Covers lag from load of any cause. Harm: a replica whose apply is slow for other reasons gets fewer reads than it could serve.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,7 +36,12 @@
 	longestQuiet = 1000 * ms // a suspect that is back after longer starts again with a small limit
 	limitStart   = 8.0       // first limit on what is in flight to a member: a few cores' worth
 	limitCut     = 0.8       // share left of a limit when answers come too late
-	lateShare    = 0.4       // of the SLA time: a mean latency above it cuts the limit
+	latePart     = 0.25      // way from the uncrowded latency to the SLA time at which a mean cuts the limit
+	lagPart      = 0.1       // the same for a replica that is further behind than a tokened read waits
+	baseFirst    = 0.3       // uncrowded latency in SLA times, before it is known
+	baseMost     = 0.35      // and at most: a gateway that starts in a jam must not take that for its base
+	baseCount    = 50        // answers lately that a mean needs to count
+	baseCreep    = 1e-4      // part of the difference by which the base rises with each answer
 	hopeless     = 1.2       // mean service times that must be left for a txn to be worth sending
 	rescueMeans  = 2.0       // service times after which a read on a suspect is taken elsewhere
 	copyMeans    = 4.0       // service times after which a read on a healthy member gets a second copy
@@ -55,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{site: s, rng: newPCG(seed), members: map[Server]*member{}, txns: map[uint64]*txn{},
+	g := &Gateway{site: s, rng: newPCG(seed), base: baseFirst, members: map[Server]*member{}, txns: map[uint64]*txn{},
 		listed: map[Server]bool{}, askSpan: askFirst}
 	g.service = make([]struct{ sum, n decaying }, len(s.Classes))
 	g.usual = make([]Nanos, len(s.Classes))
@@ -375,7 +380,9 @@
 func (g *Gateway) measured(m *member, t *txn, elapsed Nanos) {
 	x := float64(elapsed)
 	m.slow.add(g.now, fadeLatency, x/g.expected(t.class))
-	m.late.add(g.now, fadeLatency, x/float64(g.site.Classes[t.class].Aim))
+	late := x / float64(g.site.Classes[t.class].Aim)
+	m.late.add(g.now, fadeLatency, late)
+	g.learnBase(late)
 	m.elapsed.add(g.now, fadeLatency, x)
 	m.ends.add(g.now, fadeLatency, 1)
 	g.service[t.class].sum.add(g.now, fadeClass, x)
@@ -384,13 +391,36 @@
 		return
 	}
 	switch {
-	case m.late.read(g.now, fadeLatency) > lateShare*m.ends.read(g.now, fadeLatency):
+	case m.late.read(g.now, fadeLatency) > g.lateLimit(m)*m.ends.read(g.now, fadeLatency):
 		m.limit, m.grownAt = max(1, min(m.limit, float64(m.out+1))*limitCut), g.now
 	case float64(m.out+2) > m.limit:
 		m.limit, m.grownAt = m.limit+1, g.now
 	}
 }
 
+// learnBase follows the latency, in SLA times, that this gateway's txns have when nothing is crowded: the lowest mean
+// seen, which creeps up by a small part of the difference with each answer so that one lucky moment does not last.
+func (g *Gateway) learnBase(late float64) {
+	g.late.add(g.now, fadeClass, late)
+	g.ends.add(g.now, fadeClass, 1)
+	if n := g.ends.read(g.now, fadeClass); n > baseCount {
+		mean := min(baseMost, g.late.read(g.now, fadeClass)/n)
+		if mean < g.base {
+			g.base = mean
+		}
+		g.base += (mean - g.base) * baseCreep
+	}
+}
+
+// lateLimit is the mean latency, in SLA times, that cuts a member's limit: part of the way from uncrowded to too late.
+func (g *Gateway) lateLimit(m *member) float64 {
+	part := latePart
+	if m.role == roleReplica && g.behind(m) > waitSpan {
+		part = lagPart // crowding slows a replica's apply: one that falls behind is relieved sooner
+	}
+	return g.base + (1-g.base)*part
+}
+
 // expected is a txn type's service time of late, a quarter of its SLA time before any is known.
 func (g *Gateway) expected(class int) float64 {
 	s, guess := &g.service[class], float64(g.site.Classes[class].Aim)/4
@@ -772,7 +802,7 @@
 		}
 	}
 	late := p.late.read(g.now, fadeLatency) / (p.ends.read(g.now, fadeLatency) + 1)
-	if float64(p.out) >= p.limit*(1-late/lateShare) {
+	if float64(p.out) >= p.limit*(1-late/g.lateLimit(p)) {
 		return nil
 	}
 	return p
--- a/decide/state.go
+++ b/decide/state.go
@@ -109,32 +109,34 @@
 
 // Gateway is one instance of the module.
 type Gateway struct {
-	site      *site
-	now       Nanos
-	startedAt Nanos // this instance's first round
-	rng       pcg
-	members   map[Server]*member
-	order     []*member
-	groups    []*group
-	txns      map[uint64]*txn
-	open      []*txn
-	service   []struct{ sum, n decaying } // by txn type: latency of what was committed
-	usual     []Nanos                     // by txn type: three in four tries get no more time than this
-	ranking   []int                       // rows of waiting txns, most value for each unit of service time first
-	sends     decaying
-	copies    decaying
-	listed    map[Server]bool
-	lines     []string
-	stage     int
-	cursor    int
-	reviewAt  Nanos
-	wakeAt    Nanos
-	follows   bool
-	askAt     Nanos
-	askSpan   Nanos
-	sweptAt   Nanos
-	shedding  bool
-	given     decaying // txns given up unserved
+	site       *site
+	now        Nanos
+	startedAt  Nanos // this instance's first round
+	rng        pcg
+	members    map[Server]*member
+	order      []*member
+	groups     []*group
+	txns       map[uint64]*txn
+	open       []*txn
+	service    []struct{ sum, n decaying } // by txn type: latency of what was committed
+	usual      []Nanos                     // by txn type: three in four tries get no more time than this
+	ranking    []int                       // rows of waiting txns, most value for each unit of service time first
+	base       float64                     // latency in SLA times when nothing is crowded
+	late, ends decaying                    // of all answers, as for a member
+	sends      decaying
+	copies     decaying
+	listed     map[Server]bool
+	lines      []string
+	stage      int
+	cursor     int
+	reviewAt   Nanos
+	wakeAt     Nanos
+	follows    bool
+	askAt      Nanos
+	askSpan    Nanos
+	sweptAt    Nanos
+	shedding   bool
+	given      decaying // txns given up unserved
 }
 
 func (g *Gateway) groupOf(id int) *group {
