Declines tell when to come back; a txn is tried for half its SLA time even when all is slow

Cause: with a mean service time near the SLA time every txn was declined on arrival, so nothing could show that the jam was over; and declined clients came back within milliseconds into the same rows. Harm: a client that honours the time may come back later than it could have been served.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -569,7 +569,9 @@
 		}
 		return Decision{}, false
 	}
-	need := Nanos(hopeless * g.expected(t.class))
+	// Where everything is slow a txn is still tried in the first half of its SLA time: else nothing would be
+	// sent that could show that it is over.
+	need := min(Nanos(hopeless*g.expected(t.class)), c.Aim/2)
 	last := t.expiry - 2*g.site.Tick
 	if t.out == 0 {
 		if c.LateValue == 0 && !g.worthless(t) {
@@ -652,7 +654,11 @@
 	c := &g.site.Classes[t.class]
 	unrun := t.ranAt == 0 && t.out == 0
 	if unrun || c.Effect == "repeatable" || (c.Effect == "by_key" && c.Group == "all") {
-		return Decision{Kind: Decline, Txn: t.id}
+		after := Nanos(0)
+		if g.site.Limits.RetryAfter {
+			after = min(c.Aim, g.site.Limits.MaxRetryAfter) // about how long what waits here takes to clear
+		}
+		return Decision{Kind: Decline, Txn: t.id, After: after}
 	}
 	return Decision{Kind: RollBack, Txn: t.id}
 }
