Cold members are not asked on a write's way beyond their budget

What a member turns away counts as work that pushes it over. Harm: a cold replica's position is learned later.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -839,7 +839,7 @@
 		// Who has just said that it is a replica, to any txn, is not asked again: that is the pause
 		// after a round.
 		asked := g.now-m.askedAt < hold || m.role == roleReplica && g.now-m.roleAt < hold
-		if m == p || m.barred || m.suspect || asked {
+		if m == p || m.barred || m.suspect || asked || !g.warmEnough(m) {
 			continue
 		}
 		if best == nil || (m.named && !best.named) || (m.named == best.named && m.position > best.position) {
@@ -866,7 +866,8 @@
 	var best *member
 	for _, m := range members {
 		last := max(m.heardAt, m.askedAt)
-		if m.barred || m.role == rolePrimary || last >= m.lackAt || g.now-last < max(askSpan, m.lag/askPart) {
+		if m.barred || m.role == rolePrimary || last >= m.lackAt || g.now-last < max(askSpan, m.lag/askPart) ||
+			!g.warmEnough(m) { // what a cold member turns away counts as work too
 			continue
 		}
 		if best == nil || last < max(best.heardAt, best.askedAt) {
