--- a/decide/decide.go
+++ b/decide/decide.go
@@ -8,7 +8,6 @@
 package decide
 
 import (
-	"bytes"
 	"cmp"
 	"fmt"
 	"maps"
@@ -60,10 +59,9 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{site: s, rng: newPCG(seed), base: baseFirst, members: map[Server]*member{}, txns: map[uint64]*txn{},
-		listed: map[Server]bool{}, askSpan: askFirst}
-	g.service = make([]struct{ sum, n decaying }, len(s.Classes))
-	g.usual = make([]Nanos, len(s.Classes))
+	g := &Gateway{site: s, rng: newPCG(seed), base: baseFirst, askSpan: askFirst,
+		members: map[Server]*member{}, txns: map[uint64]*txn{}, listed: map[Server]bool{},
+		service: make([]struct{ sum, n decaying }, len(s.Classes)), usual: make([]Nanos, len(s.Classes))}
 	for i := range 3 * len(s.Classes) {
 		g.ranking = append(g.ranking, i)
 	}
@@ -126,10 +124,7 @@
 		return
 	}
 	s := &t.subs[no]
-	s.over = true
-	t.out--
-	m.out--
-	m.sentSum -= s.at
+	t.closed(s)
 	g.heardNote(m, note)
 	g.heardReport(m, report)
 	switch r {
@@ -176,9 +171,7 @@
 		t.group.scout = nil
 	}
 	t.done = t.done || over
-	if t.done && t.out == 0 {
-		delete(g.txns, id)
-	}
+	g.forget(t)
 	if !t.done && !t.waiting && t.out == 0 {
 		g.queue(t)
 	}
@@ -196,27 +189,16 @@
 func (g *Gateway) Withdrawn(id uint64) {
 	if t := g.txns[id]; t != nil {
 		t.done = true
-		if t.out == 0 {
-			delete(g.txns, id)
-		}
+		g.forget(t)
 	}
 }
 
 // Listed tells one entry of the list; ListEnds follows the last.
 func (g *Gateway) Listed(server Server, grp int, named bool, st Status, zone int, _ float64, kind int,
 	start Nanos) {
-	m := g.members[server]
-	if m == nil {
-		m = &member{id: server, limit: limitStart}
-		g.members[server] = m
-	}
-	if m.group == nil || m.group.id != grp {
-		if m.group != nil {
-			m.group.members = slices.DeleteFunc(m.group.members, func(x *member) bool { return x == m })
-		}
-		m.group = g.groupOf(grp)
-		m.group.members = append(m.group.members, m)
-		slices.SortFunc(m.group.members, func(a, b *member) int { return bytes.Compare(a.id[:], b.id[:]) })
+	m, known := g.memberOf(server, grp)
+	if !known {
+		m.limit = limitStart
 	}
 	if start > m.startedAt {
 		// It runs anew, cold: what was measured of its last run tells nothing of this one.
@@ -224,11 +206,8 @@
 		m.elapsed, m.slow, m.late, m.ends = decaying{}, decaying{}, decaying{}, decaying{}
 	}
 	m.zone, m.kind, m.named = zone, kind, named
-	m.drained = m.drained || st == Draining
 	m.ready = st == Ready
-	if m.ready {
-		m.drained = false
-	}
+	m.drained = !m.ready && (m.drained || st == Draining)
 	m.barred = g.bars(m)
 	g.listed[server] = true
 }
@@ -273,17 +252,6 @@
 	return !m.ready && (m.drained || !g.site.Rules.SoftRemoval)
 }
 
-// passed is the position that every replica is known to have reached, after which a token need not hold (step 2).
-func (grp *group) passed() Nanos {
-	low := Nanos(math.MaxInt64)
-	for _, m := range grp.members {
-		if m.ready && m.role != rolePrimary {
-			low = min(low, m.position)
-		}
-	}
-	return low
-}
-
 // heardNote takes an answer's word on role and position.
 func (g *Gateway) heardNote(m *member, note uint32) {
 	if role := int(note & 3); role == rolePrimary || role == roleReplica {
@@ -296,7 +264,7 @@
 		}
 	}
 	if at := Nanos(note>>2) * Millisecond; at > 0 {
-		g.reached(m, g.site.Family.Zero+at)
+		m.reached(g.site.Family.Zero + at)
 		m.lag, m.lagAt, m.heardAt = g.now-(g.site.Family.Zero+at), g.now, g.now
 	}
 }
@@ -313,7 +281,7 @@
 				// The figure is rounded to 24 bits: a microsecond in sixteen seconds, so a little is
 				// taken off.
 				at := g.site.Family.Zero + Millis(float64(report[i])*(1-1e-6)*1000)
-				g.reached(m, at)
+				m.reached(at)
 				m.lag, m.lagAt, m.heardAt = min(g.behind(m), g.now-at), g.now, g.now
 			}
 		case "x1":
@@ -329,9 +297,6 @@
 	}
 }
 
-// reached raises a proven position; one that was proven holds for good, through changes of role as well.
-func (g *Gateway) reached(m *member, at Nanos) { m.position = max(m.position, at) }
-
 // proven takes what a committed txn shows: a write its commit, a read that a replica checked its token
 // or bound.
 func (g *Gateway) proven(t *txn, s *submission, m *member, note uint32) {
@@ -343,11 +308,11 @@
 		return
 	case "lag_bound":
 		if g.site.Family.WhenBehind != "none" {
-			g.reached(m, s.at-g.site.Family.Bound[t.class])
+			m.reached(s.at - g.site.Family.Bound[t.class])
 		}
 	case "causal", "strong":
 		if g.site.Family.WhenBehind != "none" && t.token > 0 {
-			g.reached(m, t.token)
+			m.reached(t.token)
 			m.lag, m.lagAt = min(g.behind(m), g.now-t.token), g.now
 		}
 	}
@@ -398,8 +363,9 @@
 	}
 }
 
-// learnBase follows the latency, in SLA times, that this gateway's txns have when nothing is crowded: the lowest mean
-// seen, which creeps up by a small part of the difference with each answer so that one lucky moment does not last.
+// learnBase follows the latency, in SLA times, that this gateway's txns have when nothing is crowded:
+// the lowest mean seen, which creeps up by a small part of the difference with each answer so that one
+// lucky moment does not last.
 func (g *Gateway) learnBase(late float64) {
 	g.late.add(g.now, fadeClass, late)
 	g.ends.add(g.now, fadeClass, 1)
@@ -412,7 +378,8 @@
 	}
 }
 
-// lateLimit is the mean latency, in SLA times, that cuts a member's limit: part of the way from uncrowded to too late.
+// lateLimit is the mean latency, in SLA times, that cuts a member's limit: part of the way from
+// uncrowded to too late.
 func (g *Gateway) lateLimit(m *member) float64 {
 	part := latePart
 	if m.role == roleReplica && g.behind(m) > waitSpan {
@@ -438,8 +405,8 @@
 	return (m.elapsed.read(g.now, fadeLatency) + guess) / (m.ends.read(g.now, fadeLatency) + 1)
 }
 
-// queue puts a txn into its row. Reads that any replica can serve have rows of their own, so that they do not wait
-// behind those that find no replica fresh enough.
+// queue puts a txn into its row. Reads that any replica can serve have rows of their own, so that they
+// do not wait behind those that find no replica fresh enough.
 func (g *Gateway) queue(t *txn) {
 	row := t.class
 	switch {
@@ -645,9 +612,7 @@
 func (g *Gateway) giveUp(t *txn) Decision {
 	t.done, t.waiting = true, false
 	g.given.add(g.now, fadeLatency, 1)
-	if t.out == 0 {
-		delete(g.txns, t.id)
-	}
+	g.forget(t)
 	if t.group.scout == t {
 		t.group.scout = nil
 	}
@@ -711,10 +676,7 @@
 	g.sends.add(g.now, fadeClass, 1)
 	m.sent.add(g.now, g.site.Rules.OverloadFor, g.expected(t.class))
 	m.carried.add(g.now, fadeClass, g.expected(t.class))
-	t.subs = append(t.subs, submission{to: m, at: g.now})
-	t.out++
-	m.out++
-	m.sentSum += g.now
+	t.opened(m, g.now)
 	t.waiting = false
 	return Decision{Kind: Submit, Txn: t.id, Server: m.id, Until: t.expiry}
 }
@@ -950,10 +912,11 @@
 	return true
 }
 
-// warmEnough keeps a cold member from being pushed over. It may get the share that its age assures it can do of what
-// the busier half of its warm peers got from here of late. A mean over a long span is nearly additive, so all gateways
-// together send it little more than that share of what a warm one carries, however uneven their traffic is; the
-// busiest peer's figure of a second is not, and pushed a member over where many gateways had little traffic each.
+// warmEnough keeps a cold member from being pushed over. It may get the share that its age assures it
+// can do of what the busier half of its warm peers got from here of late. A mean over a long span is
+// nearly additive, so all gateways together send it little more than that share of what a warm one
+// carries, however uneven their traffic is; the busiest peer's figure of a second is not, and pushed a
+// member over where many gateways had little traffic each.
 func (g *Gateway) warmEnough(m *member) bool {
 	r := &g.site.Rules
 	age := g.now - m.startedAt
@@ -978,18 +941,12 @@
 			guides[1] = append(guides[1], sent)
 		}
 	}
-	same := guides[2]
-	for _, i := range []int{1, 0} {
+	peers := 0.0
+	for i := 2; i >= 0; i-- {
 		if len(guides[i]) > 0 {
-			same = guides[i]
+			peers = upperMean(guides[i])
 		}
 	}
-	slices.Sort(same)
-	same = same[len(same)/2:]
-	peers := 0.0
-	for _, sent := range same {
-		peers += sent / float64(len(same))
-	}
 	share := r.ColdFrom + (1-r.ColdFrom)*max(0, float64(age)/float64(r.Cold))
 	mine := m.sent.read(g.now, r.OverloadFor)
 	return m.out == 0 && mine < share*g.expected(0) || mine < coldPart*r.FallMultiple*share*peers
--- a/decide/state.go
+++ b/decide/state.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"bytes"
 	"fmt"
 	"math"
 	"slices"
@@ -76,7 +77,7 @@
 type group struct {
 	id      int
 	members []*member
-	waiting [][]*txn         // by row: for each txn type those in time, those of them that need no proof, the late
+	waiting [][]*txn         // by row: for each txn type those in time, those that need no proof, the late
 	scout   *txn             // the write that is trying members in turn
 	primary *member          // as last logged
 	tokens  map[uint64]Nanos // last commits of sessions, where they are kept here
@@ -120,7 +121,7 @@
 	open       []*txn
 	service    []struct{ sum, n decaying } // by txn type: latency of what was committed
 	usual      []Nanos                     // by txn type: three in four tries get no more time than this
-	ranking    []int                       // rows of waiting txns, most value for each unit of service time first
+	ranking    []int                       // rows of waiting txns, most value for service time first
 	base       float64                     // latency in SLA times when nothing is crowded
 	late, ends decaying                    // of all answers, as for a member
 	sends      decaying
@@ -157,3 +158,68 @@
 func (t *txn) tried(m *member, since Nanos) bool {
 	return slices.ContainsFunc(t.subs, func(s submission) bool { return s.to == m && s.at >= since })
 }
+
+// memberOf is a server's entry in a group, made or moved there where needed, and whether it was known before.
+func (g *Gateway) memberOf(server Server, grp int) (*member, bool) {
+	m, known := g.members[server]
+	if !known {
+		m = &member{id: server}
+		g.members[server] = m
+	}
+	if m.group == nil || m.group.id != grp {
+		if m.group != nil {
+			m.group.members = slices.DeleteFunc(m.group.members, func(x *member) bool { return x == m })
+		}
+		m.group = g.groupOf(grp)
+		m.group.members = append(m.group.members, m)
+		slices.SortFunc(m.group.members, func(a, b *member) int { return bytes.Compare(a.id[:], b.id[:]) })
+	}
+	return m, known
+}
+
+// opened and closed keep count of what is in flight.
+func (t *txn) opened(m *member, now Nanos) {
+	t.subs = append(t.subs, submission{to: m, at: now})
+	t.out++
+	m.out++
+	m.sentSum += now
+}
+
+func (t *txn) closed(s *submission) {
+	s.over = true
+	t.out--
+	s.to.out--
+	s.to.sentSum -= s.at
+}
+
+// forget drops a txn whose answer is given once its submissions are over.
+func (g *Gateway) forget(t *txn) {
+	if t.done && t.out == 0 {
+		delete(g.txns, t.id)
+	}
+}
+
+// passed is the position that every replica is known to have reached, after which a token need not hold
+// (step 2).
+func (grp *group) passed() Nanos {
+	low := Nanos(math.MaxInt64)
+	for _, m := range grp.members {
+		if m.ready && m.role != rolePrimary {
+			low = min(low, m.position)
+		}
+	}
+	return low
+}
+
+// reached raises a proven position; one that was proven holds for good, through changes of role as well.
+func (m *member) reached(at Nanos) { m.position = max(m.position, at) }
+
+// upperMean is the mean of the larger half.
+func upperMean(x []float64) float64 {
+	slices.Sort(x)
+	sum, upper := 0.0, x[len(x)/2:]
+	for _, v := range upper {
+		sum += v
+	}
+	return sum / float64(len(upper))
+}
