A session's repeat of an unserved txn keeps the SLA time of the first try

Covers any overload where sessions are named. Harm: a session's other txn of the type within the limit of an unserved one is taken for its repeat.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -61,7 +61,8 @@
 	}
 	g := &Gateway{site: s, rng: newPCG(seed), base: baseFirst, askSpan: askFirst,
 		members: map[Server]*member{}, txns: map[uint64]*txn{}, listed: map[Server]bool{},
-		service: make([]struct{ sum, n decaying }, len(s.Classes)), usual: make([]Nanos, len(s.Classes))}
+		unserved: map[unserved]Nanos{},
+		service:  make([]struct{ sum, n decaying }, len(s.Classes)), usual: make([]Nanos, len(s.Classes))}
 	for i := range 3 * len(s.Classes) {
 		g.ranking = append(g.ranking, i)
 	}
@@ -83,7 +84,7 @@
 		return fmt.Errorf("txn type %d is not in the settings", class)
 	}
 	c := &g.site.Classes[class]
-	t := &txn{id: id, class: class, tenant: tenant, group: g.groupOf(grp), session: session, arrived: g.now,
+	t := &txn{id: id, class: class, tenant: tenant, group: g.groupOf(grp), session: session, arrived: g.now, first: g.now,
 		budget: budget, expiry: g.now + budget, waiting: true}
 	t.aim = g.now + c.Aim + Nanos(c.AimStretch*float64(work))
 	// A try that gets less time than is usual is a client's repeat with little of its limit left, which
@@ -99,8 +100,13 @@
 		*usual -= step
 	}
 	if budget < *usual*9/10 {
-		t.aim = max(g.now, t.aim-max(0, c.HardLimit-budget))
+		t.first = min(g.now, t.expiry-c.HardLimit)
 	}
+	// So is one of a session whose last txn of the type was not served and began within the client's limit.
+	if at, ok := g.unserved[unserved{session, class}]; ok && session != 0 && g.now-at < c.HardLimit {
+		t.first = min(t.first, at)
+	}
+	t.aim = max(g.now, t.aim-(g.now-t.first))
 	switch g.site.Family.Consistency[class] {
 	case "causal":
 		if age > 0 {
@@ -133,6 +139,7 @@
 		g.measured(m, t, elapsed)
 		if !t.done {
 			g.proven(t, s, m, note)
+			delete(g.unserved, unserved{t.session, t.class})
 		}
 		t.done = true
 	case Missed:
@@ -189,6 +196,7 @@
 func (g *Gateway) Withdrawn(id uint64) {
 	if t := g.txns[id]; t != nil {
 		t.done = true
+		g.unserved[unserved{t.session, t.class}] = t.first
 		g.forget(t)
 	}
 }
@@ -521,6 +529,9 @@
 	}
 	if g.now-g.sweptAt > fadeClass {
 		g.sweptAt = g.now
+		maps.DeleteFunc(g.unserved, func(k unserved, at Nanos) bool {
+			return g.now-at > g.site.Classes[k.class].HardLimit
+		})
 	}
 }
 
@@ -611,6 +622,7 @@
 // giveUp answers a txn for good: declined where a retry can do no harm, else rolled back.
 func (g *Gateway) giveUp(t *txn) Decision {
 	t.done, t.waiting = true, false
+	g.unserved[unserved{t.session, t.class}] = t.first
 	g.given.add(g.now, fadeLatency, 1)
 	g.forget(t)
 	if t.group.scout == t {
--- a/decide/state.go
+++ b/decide/state.go
@@ -99,6 +99,7 @@
 	session                      uint64
 	token                        Nanos // position that a read must see; 0 is none
 	arrived, aim, expiry, budget Nanos
+	first                        Nanos // arrival of the client's first try, as far as can be told
 	subs                         []submission
 	out                          int
 	waiting, done                bool
@@ -108,6 +109,12 @@
 	pauseTo                      Nanos
 }
 
+// unserved is a session and a txn type.
+type unserved struct {
+	session uint64
+	class   int
+}
+
 // Gateway is one instance of the module.
 type Gateway struct {
 	site       *site
@@ -127,6 +134,7 @@
 	sends      decaying
 	copies     decaying
 	listed     map[Server]bool
+	unserved   map[unserved]Nanos // when the session's first try of its last txn came, if that was not served
 	lines      []string
 	stage      int
 	cursor     int
