--- a/decide/decide.go
+++ b/decide/decide.go
@@ -909,7 +909,7 @@
 	}
 	limit := m.limit
 	if g.worthless(t) {
-		limit /= 2
+		limit /= 4
 	}
 	return float64(m.out) < limit && g.warmEnough(m)
 }
