--- a/decide/decide.go
+++ b/decide/decide.go
@@ -30,6 +30,7 @@
 	fadeClass    = 5000 * ms // memory of a txn type's service time: steadier than any one member
 	silentMeans  = 12.0      // a suspect's work in flight has waited for this many mean latencies in all
 	silentLeast  = 4.0       // and its last answer was this many ago: both are rare by chance
+	leaveShare   = 0.05      // of a type's clients who leave early: above it their stay replaces the SLA time
 	trialFirst   = 250 * ms  // a suspect gets a trial read after this, doubled each time it fails
 	trialLast    = 2000 * ms // up to this, so that one that came back is not left idle for long
 	longestQuiet = 1000 * ms // a suspect that is back after longer starts again with a small limit
@@ -62,7 +63,7 @@
 	g := &Gateway{site: s, rng: newPCG(seed), base: baseFirst, askSpan: askFirst,
 		members: map[Server]*member{}, txns: map[uint64]*txn{}, listed: map[Server]bool{},
 		unserved: map[unserved]Nanos{},
-		service:  make([]struct{ sum, n decaying }, len(s.Classes)), usual: make([]Nanos, len(s.Classes))}
+		service:  make([]service, len(s.Classes)), usual: make([]Nanos, len(s.Classes))}
 	for i := range 3 * len(s.Classes) {
 		g.ranking = append(g.ranking, i)
 	}
@@ -86,7 +87,8 @@
 	c := &g.site.Classes[class]
 	t := &txn{id: id, class: class, tenant: tenant, group: g.groupOf(grp), session: session, arrived: g.now, first: g.now,
 		budget: budget, expiry: g.now + budget, waiting: true}
-	t.aim = g.now + c.Aim + Nanos(c.AimStretch*float64(work))
+	g.service[class].came.add(g.now, fadeClass, 1)
+	t.aim = g.now + g.patience(class) + Nanos(c.AimStretch*float64(work))
 	// A try that gets less time than is usual is a client's repeat with little of its limit left, which
 	// tells how much of the SLA time went by before. What is usual is a quantile: single tries get more
 	// than a first one.
@@ -197,6 +199,8 @@
 	if t := g.txns[id]; t != nil {
 		t.done = true
 		g.unserved[unserved{t.session, t.class}] = t.first
+		g.service[t.class].left.add(g.now, fadeClass, 1)
+		g.service[t.class].stay.add(g.now, fadeClass, float64(g.now-t.arrived))
 		g.forget(t)
 	}
 }
@@ -353,7 +357,7 @@
 func (g *Gateway) measured(m *member, t *txn, elapsed Nanos) {
 	x := float64(elapsed)
 	m.slow.add(g.now, fadeLatency, x/g.expected(t.class))
-	late := x / float64(g.site.Classes[t.class].Aim)
+	late := x / float64(g.patience(t.class))
 	m.late.add(g.now, fadeLatency, late)
 	g.learnBase(late)
 	m.elapsed.add(g.now, fadeLatency, x)
@@ -396,6 +400,17 @@
 	return g.base + (1-g.base)*part
 }
 
+// patience is the time within which an answer to a txn type is of use: its SLA time, or where a good share
+// of clients leave sooner, how long those stayed.
+func (g *Gateway) patience(class int) Nanos {
+	s, aim := &g.service[class], g.site.Classes[class].Aim
+	left := s.left.read(g.now, fadeClass)
+	if left < 1 || left < leaveShare*s.came.read(g.now, fadeClass) {
+		return aim
+	}
+	return min(aim, Nanos(s.stay.read(g.now, fadeClass)/left))
+}
+
 // expected is a txn type's service time of late, a quarter of its SLA time before any is known.
 func (g *Gateway) expected(class int) float64 {
 	s, guess := &g.service[class], float64(g.site.Classes[class].Aim)/4
@@ -961,5 +976,5 @@
 	}
 	share := r.ColdFrom + (1-r.ColdFrom)*max(0, float64(age)/float64(r.Cold))
 	mine := m.sent.read(g.now, r.OverloadFor)
-	return m.out == 0 && mine < share*g.expected(0) || mine < coldPart*r.FallMultiple*share*peers
+	return m.out == 0 && mine < share*g.expected(0) || mine < min(coldPart*r.FallMultiple, r.FallMultiple-1)*share*peers
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -109,6 +109,10 @@
 	pauseTo                      Nanos
 }
 
+// service is what is measured of a txn type: latency and count of what was committed, how many came, and how
+// many left early after what stay.
+type service struct{ sum, n, came, left, stay decaying }
+
 // unserved is a session and a txn type.
 type unserved struct {
 	session uint64
@@ -126,11 +130,11 @@
 	groups     []*group
 	txns       map[uint64]*txn
 	open       []*txn
-	service    []struct{ sum, n decaying } // by txn type: latency of what was committed
-	usual      []Nanos                     // by txn type: three in four tries get no more time than this
-	ranking    []int                       // rows of waiting txns, most value for service time first
-	base       float64                     // latency in SLA times when nothing is crowded
-	late, ends decaying                    // of all answers, as for a member
+	service    []service // by txn type
+	usual      []Nanos   // by txn type: three in four tries get no more time than this
+	ranking    []int     // rows of waiting txns, most value for service time first
+	base       float64   // latency in SLA times when nothing is crowded
+	late, ends decaying  // of all answers, as for a member
 	sends      decaying
 	copies     decaying
 	listed     map[Server]bool
