Rows whose oldest has waited long are served newest first

Cause: in a jam first in, first out serves everybody just before or after the SLA time. Covers any jam. Harm: a few waiting txns are shed that first in, first out would have served.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,6 +48,7 @@
 	copyShare    = 0.05      // second copies for each submission, at most
 	farPenalty   = 1.15      // a member elsewhere must be this much less loaded to be preferred
 	reportAge    = 1000 * ms // an answer's word on a role outweighs a report's for this long
+	jamPart      = 4         // a row whose oldest has waited for this part of its SLA time is served newest first
 	scanDepth    = 64        // waiting txns of a row looked at in a round: bounds the work in a jam
 	shedOn       = 10.0      // txns given up within the last seconds that are worth a line in the log
 	coldPart     = 0.5       // of the multiple at which a cold member falls over: what may be planned for
@@ -673,9 +674,14 @@
 	for g.cursor < len(g.groups)*len(g.ranking) {
 		grp, row := g.groups[g.cursor/len(g.ranking)], g.ranking[g.cursor%len(g.ranking)]
 		grp.waiting[row] = slices.DeleteFunc(grp.waiting[row], func(t *txn) bool { return t.done || !t.waiting })
-		for i, t := range grp.waiting[row] {
-			if i >= scanDepth {
-				break
+		// Newest first once the oldest has waited for a good part of its SLA time: in a jam the old are shed
+		// whatever is done, and first in, first out would serve everybody late.
+		w := grp.waiting[row]
+		newest := len(w) > 0 && g.now-w[0].arrived > g.patience(w[0].class)/jamPart
+		for i := range min(len(w), scanDepth) {
+			t := w[i]
+			if newest {
+				t = w[len(w)-1-i]
 			}
 			if !g.maySubmit(t) {
 				continue
