A member back after lost connections is taken for cold; lost ones only get trials

Covers restarts that the list tells late or never. Harm: a member that was only cut off is ramped as if cold.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -44,8 +44,6 @@
 	baseCreep    = 1e-4      // part of the difference by which the base rises with each answer
 	hopeless     = 1.2       // mean service times that must be left for a txn to be worth sending
 	rescueMeans  = 2.0       // service times after which a read on a suspect is taken elsewhere
-	copyMeans    = 4.0       // service times after which a read on a healthy member gets a second copy
-	copyShare    = 0.05      // second copies for each submission, at most
 	farPenalty   = 1.15      // a member elsewhere must be this much less loaded to be preferred
 	reportAge    = 1000 * ms // an answer's word on a role outweighs a report's for this long
 	jamPart      = 4         // a row whose oldest has waited for this part of its SLA time is served newest first
@@ -129,7 +127,7 @@
 func (g *Gateway) Ended(id uint64, no int, server Server, r Result, elapsed Nanos, note uint32, over bool,
 	report []float32) {
 	t, m := g.txns[id], g.members[server]
-	if t == nil || no >= len(t.subs) || t.subs[no].over || m == nil {
+	if t == nil || no >= len(t.subs) || t.subs[no].over || t.subs[no].to != m {
 		return
 	}
 	s := &t.subs[no]
@@ -158,6 +156,8 @@
 		m.grownAt = g.now
 		t.pauseTo = g.now + pulse
 	case Unreachable:
+		m.unreached = true
+		t.pauseTo = g.now + pulse
 		g.suspects(m, "no connection")
 	case Failed:
 		g.answered(m)
@@ -170,6 +170,7 @@
 		}
 	case Broken:
 		s.ran = true
+		m.unreached = true
 		g.suspects(m, "connection broken")
 	case Cancelled:
 		s.ran = true
@@ -337,9 +338,14 @@
 	if m.suspect {
 		if g.now-m.suspectAt > longestQuiet {
 			m.limit = 2
-			g.log("member %v answers again after %d ms", m.id, (g.now-m.suspectAt)/Millisecond)
+			if m.unreached {
+				// It may have started anew, and the list tells that seconds late, if at all: until then
+				// it was sent all at once what pushed it over.
+				m.startedAt = g.now
+			}
+			g.log("member %v answers again after %d ms, cold: %v", m.id, (g.now-m.suspectAt)/ms, m.unreached)
 		}
-		m.suspect, m.trial = false, 0
+		m.suspect, m.trial, m.unreached = false, 0, false
 	}
 }
 
@@ -592,8 +598,7 @@
 	return Decision{}, false
 }
 
-// rescues tells whether a txn in flight should be tried elsewhere: its member is suspect, or it takes
-// far too long.
+// rescues tells whether a txn in flight should be tried elsewhere, as its member is suspect.
 func (g *Gateway) rescues(t *txn, s *submission) bool {
 	if len(t.subs) >= g.site.Limits.MaxAttempts {
 		return false
@@ -601,11 +606,7 @@
 	age, mean := float64(g.now-s.at), g.expected(t.class)
 	switch g.site.Classes[t.class].Effect {
 	case "repeatable":
-		if s.to.suspect {
-			return age > rescueMeans*mean
-		}
-		return g.site.Limits.MayDuplicate && age > copyMeans*mean && len(t.subs) < 2 && g.now < t.aim &&
-			g.copies.read(g.now, fadeClass) < copyShare*g.sends.read(g.now, fadeClass)
+		return s.to.suspect && age > rescueMeans*mean
 	case "by_key":
 		// Only a new primary can do better, and only while the group remembers the first submission.
 		p := g.primaryOf(t.group)
@@ -703,10 +704,6 @@
 		m.trial = min(m.trial*2, trialLast)
 		m.trialAt = g.now + m.trial
 	}
-	if t.out > 0 {
-		g.copies.add(g.now, fadeClass, 1)
-	}
-	g.sends.add(g.now, fadeClass, 1)
 	m.sent.add(g.now, g.site.Rules.OverloadFor, g.expected(t.class))
 	m.carried.add(g.now, fadeClass, g.expected(t.class))
 	t.opened(m, g.now)
@@ -925,8 +922,9 @@
 	if m.barred {
 		return false
 	}
-	if m.suspect && !g.allSuspect(t.group) {
-		return m.out == 0 && g.now >= m.trialAt && g.site.Classes[t.class].Effect == "repeatable" && t.out == 0
+	if m.suspect && (m.unreached || !g.allSuspect(t.group)) {
+		safe := m.unreached || g.site.Classes[t.class].Effect == "repeatable"
+		return m.out == 0 && g.now >= m.trialAt && safe && t.out == 0 && g.now >= t.pauseTo
 	}
 	limit := m.limit
 	if g.worthless(t) {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -178,15 +178,48 @@
 	//  10300 submit 4 to a
 }
 
-// When every member is suspect the fault is likely nearer, and none is avoided.
+// When every member is silent the fault is likely nearer, and none is avoided; where every connection
+// fails, single trials go on, at a pace that a server just started can bear.
 func Example_allSuspect() {
 	t := open().list("a b").txn(1, 2, 0).txn(2, 2, 0).pull()
-	t.end(1, 0, "a", Unreachable, 0, 0).end(2, 0, "b", Unreachable, 0, 0).pull()
+	t.at(10500).end(1, 0, "a", TimedOut, 0, 0).end(2, 0, "b", TimedOut, 0, 0).txn(3, 2, 0).pull()
+	lost := open().list("a b").txn(4, 2, 0).txn(5, 2, 0).pull()
+	lost.end(4, 0, "a", Unreachable, 0, 0).end(5, 0, "b", Unreachable, 0, 0).pull().at(10240).txn(6, 2, 0).run(10300)
 	// Output:
 	// 10000 submit 1 to a
 	//  10000 submit 2 to b
-	//  10000 submit 1 to a
+	//  10500 decline 1
+	//  10500 decline 2
+	//  10500 submit 3 to a
+	//  10000 submit 4 to a
+	//  10000 submit 5 to b
+	//  10250 decline 4
+	//  10250 decline 5
+	//  10250 submit 6 to a
+}
+
+// A member back after lost connections may be cold, whatever the list says of it.
+func Example_coldUntold() {
+	t := open().list("a b").txn(1, 2, 0).txn(2, 2, 0).pull()
+	t.end(1, 0, "a", Committed, 2, 9990).end(2, 0, "b", Broken, 0, 0).pull()
+	t.at(10020).end(2, 1, "a", Committed, 2, 10010).pull()
+	t.at(11500).txn(3, 2, 0).txn(4, 2, 0).pull().at(11520)
+	t.end(3, 0, "a", Committed, 2, 11510).end(4, 0, "b", Committed, 2, 11510)
+	for id := uint64(5); id < 10; id++ {
+		t.txn(id, 2, 0)
+	}
+	t.pull()
+	// Output:
+	// 10000 submit 1 to a
 	//  10000 submit 2 to b
+	//  10000 submit 2 to a
+	//  11500 submit 3 to a
+	//  11500 submit 4 to b
+	//  11520 submit 5 to a
+	//  11520 submit 6 to a
+	//  11520 submit 7 to a
+	//  11520 submit 8 to a
+	//  11520 submit 9 to a
 }
 
 // Two members claim the role: the newest answer wins, and a miss ends a claim at once.
--- a/decide/state.go
+++ b/decide/state.go
@@ -69,7 +69,7 @@
 	sent                      decaying // service time sent within the span of the rule on cold members
 	carried                   decaying // the same over a longer span
 	quietSince, grownAt       Nanos
-	suspect                   bool
+	suspect, unreached        bool // unreached: no connection, or a broken one, since its last answer
 	suspectAt, trialAt, trial Nanos
 }
 
@@ -135,8 +135,6 @@
 	ranking    []int     // rows of waiting txns, most value for service time first
 	base       float64   // latency in SLA times when nothing is crowded
 	late, ends decaying  // of all answers, as for a member
-	sends      decaying
-	copies     decaying
 	listed     map[Server]bool
 	unserved   map[unserved]Nanos // when the session's first try of its last txn came, if that was not served
 	lines      []string
