A try's usual time is the most frequent one; more of it marks a repeat too

Cause: a client's last try gets all that is left of its limit, often more than its first. A quantile rose with those until first tries passed for worthless repeats and were declined while members idled (9,600 of 9,700 given up in two seconds were taken for repeats). Harm: where first tries get uneven times, some pass for repeats; they are still served where there is room.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -50,7 +50,7 @@
 	scanDepth    = 64        // waiting txns of a row looked at in a round: bounds the work in a jam
 	shedOn       = 10.0      // txns given up within the last seconds that are worth a line in the log
 	coldPart     = 0.5       // of the multiple at which a cold member falls over: what may be planned for
-	usualSteps   = 500       // steps of a client's limit in which its usual time for a try is followed
+	usualSteps   = 50        // a time for a try within this part of the client's limit of the usual one is usual
 )
 
 // New reads the settings and returns an instance that knows nothing else.
@@ -62,7 +62,7 @@
 	g := &Gateway{site: s, rng: newPCG(seed), base: baseFirst, askSpan: askFirst,
 		members: map[Server]*member{}, txns: map[uint64]*txn{}, listed: map[Server]bool{},
 		unserved: map[unserved]Nanos{},
-		service:  make([]service, len(s.Classes)), usual: make([]Nanos, len(s.Classes))}
+		service:  make([]service, len(s.Classes))}
 	for i := range 3 * len(s.Classes) {
 		g.ranking = append(g.ranking, i)
 	}
@@ -88,19 +88,9 @@
 		budget: budget, expiry: g.now + budget, waiting: true}
 	g.service[class].came.add(g.now, fadeClass, 1)
 	t.aim = g.now + g.patience(class) + Nanos(c.AimStretch*float64(work))
-	// A try that gets less time than is usual is a client's repeat with little of its limit left, which
-	// tells how much of the SLA time went by before. What is usual is a quantile: single tries get more
-	// than a first one.
-	usual, step := &g.usual[class], c.HardLimit/usualSteps
-	switch {
-	case *usual == 0:
-		*usual = budget
-	case budget > *usual:
-		*usual += 3 * step
-	default:
-		*usual -= step
-	}
-	if budget < *usual*9/10 {
+	// First tries of a type all get the same time, the usual one. Another time marks a client's repeat, which
+	// has what is left of its limit, less or more: that tells how much of the SLA time went by before.
+	if usual := &g.service[class].usual; !usual.counts(budget, c.HardLimit/usualSteps) {
 		t.first = min(g.now, t.expiry-c.HardLimit)
 	}
 	// So is one of a session whose last txn of the type was not served and began within the client's limit.
--- a/decide/state.go
+++ b/decide/state.go
@@ -111,7 +111,30 @@
 
 // service is what is measured of a txn type: latency and count of what was committed, how many came, and how
 // many left early after what stay.
-type service struct{ sum, n, came, left, stay decaying }
+type service struct {
+	sum, n, came, left, stay decaying
+	usual                    mode
+}
+
+// mode follows the most frequent value of a series, up to a tolerance, as long as it makes up a third of it.
+type mode struct {
+	value Nanos
+	votes int
+}
+
+// counts takes a value and tells whether it is the most frequent one.
+func (m *mode) counts(x, tolerance Nanos) bool {
+	if m.value-tolerance <= x && x <= m.value+tolerance {
+		m.votes = min(m.votes+2, 1000)
+		return true
+	}
+	m.votes--
+	if m.votes >= 0 {
+		return false
+	}
+	m.value, m.votes = x, 2
+	return true
+}
 
 // unserved is a session and a txn type.
 type unserved struct {
@@ -131,7 +154,6 @@
 	txns       map[uint64]*txn
 	open       []*txn
 	service    []service // by txn type
-	usual      []Nanos   // by txn type: three in four tries get no more time than this
 	ranking    []int     // rows of waiting txns, most value for service time first
 	base       float64   // latency in SLA times when nothing is crowded
 	late, ends decaying  // of all answers, as for a member
