--- a/decide/decide.go
+++ b/decide/decide.go
@@ -35,6 +35,7 @@
 	trialLast    = 2000 * ms // up to this, so that one that came back is not left idle for long
 	longestQuiet = 1000 * ms // a suspect that is back after longer starts again with a small limit
 	limitStart   = 8.0       // first limit on what is in flight to a member: a few cores' worth
+	leastWrites  = 3.0       // least limit of a primary, which may be slow without being crowded
 	limitCut     = 0.8       // share left of a limit when answers come too late
 	latePart     = 0.25      // way from the uncrowded latency to the SLA time at which a mean cuts the limit
 	lagPart      = 0.1       // the same for a replica that is further behind than a tokened read waits
@@ -366,7 +367,12 @@
 	}
 	switch {
 	case m.late.read(g.now, fadeLatency) > g.lateLimit(m)*m.ends.read(g.now, fadeLatency):
-		m.limit, m.grownAt = max(1, min(m.limit, float64(m.out+1))*limitCut), g.now
+		// Writes have no other member to go to: a primary that is slow, not crowded, must not idle for it.
+		least := 1.0
+		if m.role == rolePrimary {
+			least = leastWrites
+		}
+		m.limit, m.grownAt = max(least, min(m.limit, float64(m.out+1))*limitCut), g.now
 	case float64(m.out+2) > m.limit:
 		m.limit, m.grownAt = m.limit+1, g.now
 	}
