--- a/decide/decide.go
+++ b/decide/decide.go
@@ -47,7 +47,7 @@
 	rescueMeans  = 2.0       // service times after which a read on a suspect is taken elsewhere
 	farPenalty   = 1.15      // a member elsewhere must be this much less loaded to be preferred
 	reportAge    = 1000 * ms // an answer's word on a role outweighs a report's for this long
-	jamPart      = 4         // a row whose oldest has waited for this part of its SLA time is served newest first
+	jamPart      = 4         // part of its SLA time that a row's oldest waits before newest are first
 	scanDepth    = 64        // waiting txns of a row looked at in a round: bounds the work in a jam
 	shedOn       = 10.0      // txns given up within the last seconds that are worth a line in the log
 	coldPart     = 0.5       // of the multiple at which a cold member falls over: what may be planned for
@@ -85,8 +85,8 @@
 		return fmt.Errorf("txn type %d is not in the settings", class)
 	}
 	c := &g.site.Classes[class]
-	t := &txn{id: id, class: class, tenant: tenant, group: g.groupOf(grp), session: session, arrived: g.now, first: g.now,
-		budget: budget, expiry: g.now + budget, waiting: true}
+	t := &txn{id: id, class: class, tenant: tenant, group: g.groupOf(grp), session: session,
+		arrived: g.now, first: g.now, budget: budget, expiry: g.now + budget, waiting: true}
 	g.service[class].came.add(g.now, fadeClass, 1)
 	t.aim = g.now + g.patience(class) + Nanos(c.AimStretch*float64(work))
 	// First tries of a type all get the same time, the usual one. Another time marks a client's repeat, which
@@ -826,7 +826,9 @@
 	for _, m := range grp.members {
 		// Who has just said that it is a replica, to any txn, is not asked again: that is the pause
 		// after a round.
-		asked := g.now-m.askedAt < hold || m.role == roleReplica && g.now-m.roleAt < hold
+		// Nor is one that was asked and has not answered: a second write would be stuck there with the first.
+		asked := g.now-m.askedAt < hold || m.out > 0 && m.quietSince <= m.askedAt ||
+			m.role == roleReplica && g.now-m.roleAt < hold
 		if m == p || m.barred || m.suspect || asked || !g.warmEnough(m) {
 			continue
 		}
@@ -920,7 +922,7 @@
 	}
 	if m.suspect && (m.unreached || !g.allSuspect(t.group)) {
 		safe := m.unreached || g.site.Classes[t.class].Effect == "repeatable"
-		return m.out == 0 && g.now >= m.trialAt && safe && t.out == 0 && g.now >= t.pauseTo
+		return g.now >= m.trialAt && safe && t.out == 0 && g.now >= t.pauseTo
 	}
 	limit := m.limit
 	if g.worthless(t) {
@@ -976,5 +978,6 @@
 	}
 	share := r.ColdFrom + (1-r.ColdFrom)*max(0, float64(age)/float64(r.Cold))
 	mine := m.sent.read(g.now, r.OverloadFor)
-	return m.out == 0 && mine < share*g.expected(0) || mine < min(coldPart*r.FallMultiple, r.FallMultiple-1)*share*peers
+	share *= min(coldPart*r.FallMultiple, r.FallMultiple-1)
+	return m.out == 0 && mine < share*g.expected(0) || mine < share*peers
 }
