A primary that answers reads but holds writes gets a trickle of writes

Harm: one very long write makes the next ones wait for up to two seconds unless another commits meanwhile.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -131,6 +131,9 @@
 		g.measured(m, t, elapsed)
 		if !t.done {
 			g.proven(t, s, m, note)
+			if g.site.Family.Consistency[t.class] == "mutate" {
+				m.wroteAt = g.now
+			}
 			delete(g.unserved, unserved{t.session, t.class})
 		}
 		t.done = true
@@ -450,29 +453,15 @@
 	return t.aim <= t.arrived && g.site.Classes[t.class].LateValue == 0
 }
 
+// steps are what a round looks at, in this order.
+var steps = [...]func(*Gateway) (Decision, bool){
+	(*Gateway).ask, (*Gateway).review, (*Gateway).dispatch, (*Gateway).probe, (*Gateway).line, (*Gateway).wake,
+}
+
 // Next gives one decision of this round, or says that there is none left.
 func (g *Gateway) Next() (Decision, bool) {
-	for ; g.stage < 6; g.stage, g.cursor = g.stage+1, 0 {
-		var d Decision
-		var ok bool
-		switch g.stage {
-		case 0:
-			d, ok = g.ask()
-		case 1:
-			d, ok = g.review()
-		case 2:
-			d, ok = g.dispatch()
-		case 3:
-			d, ok = g.probe()
-		case 4:
-			if len(g.lines) > 0 {
-				d, ok = Decision{Kind: Log, Text: g.lines[0]}, true
-				g.lines = g.lines[1:]
-			}
-		case 5:
-			d, ok = g.wake()
-		}
-		if ok {
+	for ; g.stage < len(steps); g.stage, g.cursor = g.stage+1, 0 {
+		if d, ok := steps[g.stage](g); ok {
 			return d, true
 		}
 	}
@@ -582,7 +571,12 @@
 	}
 	if t.out == 1 && !t.waiting {
 		i := slices.IndexFunc(t.subs, func(s submission) bool { return !s.over })
-		if s := &t.subs[i]; !s.cancelled && g.rescues(t, s) {
+		s := &t.subs[i]
+		write := g.site.Family.Consistency[t.class] == "mutate"
+		if write && float64(g.now-s.at) > silentMeans*g.meanLatency(s.to) && s.to.stuckAt <= s.to.wroteAt {
+			s.to.stuckAt, s.to.trialAt = s.at, g.now+trialFirst
+		}
+		if !s.cancelled && g.rescues(t, s) {
 			if g.site.Limits.MayDuplicate {
 				g.queue(t)
 			} else if g.site.Limits.Cancelling {
@@ -809,6 +803,12 @@
 			return r
 		}
 		sure := write || p.role == rolePrimary || g.site.Family.WhenBehind != "none"
+		if write && p.stuckAt > p.wroteAt {
+			// It answers reads but has held a write for long and taken none since: no more than a trickle.
+			if sure = g.now >= p.trialAt; sure {
+				p.trialAt = g.now + trialLast
+			}
+		}
 		if sure && g.room(p, t) && !t.tried(p, g.now-pulse) {
 			return p
 		}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -398,3 +398,36 @@
 	//  10090 follow the list
 	//  10120 submit 3 to c
 }
+
+// A primary that serves reads but holds writes gets no more than a trickle of them.
+func Example_readsButNoWrites() {
+	t := open().list("a*").txn(1, 3, 0).pull()
+	for id := uint64(2); id < 8; id++ {
+		t.at(t.clock+150).txn(id, 2, 0).pull().end(id, 0, "a", Committed, 1, t.clock)
+	}
+	t.txn(20, 3, 0).pull().txn(21, 3, 0).run(10990)
+	// Output:
+	// 10000 submit 1 to a
+	//  10150 submit 2 to a
+	//  10300 submit 3 to a
+	//  10450 submit 4 to a
+	//  10600 submit 5 to a
+	//  10750 submit 6 to a
+	//  10900 submit 7 to a
+	//  10900 submit 20 to a
+	//  10990 roll back 1
+}
+
+// Positions that stand still, as in an election: reads that need more wait or are declined, others go on.
+func Example_positionsStandStill() {
+	t := open("await", "none").list("a* b").txn(1, 2, 0).pull().at(10010).end(1, 0, "b", Committed, 2, 10000)
+	t.txn(2, 3, 0).pull().at(10020).end(2, 0, "a", Unreachable, 0, 0).pull()
+	t.at(10400).txn(3, 0, 100).txn(4, 1, 0).txn(5, 2, 0).run(10700)
+	// Output:
+	// 10000 submit 1 to b
+	//  10010 submit 2 to a
+	//  10410 submit 2 to b
+	//  10410 submit 5 to b
+	//  10610 decline 3
+	//  10610 decline 4
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -71,6 +71,7 @@
 	quietSince, grownAt       Nanos
 	suspect, unreached        bool // unreached: no connection, or a broken one, since its last answer
 	suspectAt, trialAt, trial Nanos
+	stuckAt, wroteAt          Nanos // sending of a write that hangs there; when it committed one last
 }
 
 // group is one primary, its replicas and the txns that wait for them.
@@ -186,6 +187,16 @@
 
 func (g *Gateway) log(format string, a ...any) { g.lines = append(g.lines, fmt.Sprintf(format, a...)) }
 
+// line hands out what was logged.
+func (g *Gateway) line() (Decision, bool) {
+	if len(g.lines) == 0 {
+		return Decision{}, false
+	}
+	text := g.lines[0]
+	g.lines = g.lines[1:]
+	return Decision{Kind: Log, Text: text}, true
+}
+
 // tried tells whether the txn was sent to a member at or after a time.
 func (t *txn) tried(m *member, since Nanos) bool {
 	return slices.ContainsFunc(t.subs, func(s submission) bool { return s.to == m && s.at >= since })
