--- a/decide/decide.go
+++ b/decide/decide.go
@@ -79,13 +79,13 @@
 }
 
 // Arrived takes a txn. age is that of its session's last write, 0 for none or not told.
-func (g *Gateway) Arrived(id uint64, class, tenant int, session uint64, budget, work Nanos, grp int,
+func (g *Gateway) Arrived(id uint64, class, _ int, session uint64, budget, work Nanos, grp int,
 	age Nanos) error {
 	if class >= len(g.site.Classes) {
 		return fmt.Errorf("txn type %d is not in the settings", class)
 	}
 	c := &g.site.Classes[class]
-	t := &txn{id: id, class: class, tenant: tenant, group: g.groupOf(grp), session: session,
+	t := &txn{id: id, class: class, group: g.groupOf(grp), session: session,
 		arrived: g.now, first: g.now, budget: budget, expiry: g.now + budget, waiting: true}
 	g.service[class].came.add(g.now, fadeClass, 1)
 	t.aim = g.now + g.patience(class) + Nanos(c.AimStretch*float64(work))
@@ -130,6 +130,9 @@
 		g.answered(m)
 		g.measured(m, t, elapsed)
 		if !t.done {
+			if g.now <= t.aim {
+				g.service[t.class].intime.add(g.now, fadeClass, 1)
+			}
 			g.proven(t, s, m, note)
 			if g.site.Family.Consistency[t.class] == "mutate" {
 				m.wroteAt = g.now
@@ -389,10 +392,7 @@
 	g.ends.add(g.now, fadeClass, 1)
 	if n := g.ends.read(g.now, fadeClass); n > baseCount {
 		mean := min(baseMost, g.late.read(g.now, fadeClass)/n)
-		if mean < g.base {
-			g.base = mean
-		}
-		g.base += (mean - g.base) * baseCreep
+		g.base = min(mean, g.base+(mean-g.base)*baseCreep)
 	}
 }
 
@@ -520,21 +520,18 @@
 		g.shedding = !g.shedding
 		g.log("giving up unserved txns: %v, %.0f of late", g.shedding, given)
 	}
+	sweep := g.now-g.sweptAt > fadeClass
 	for _, grp := range g.groups {
 		if p := g.primaryOf(grp); p != grp.primary {
 			grp.primary = p
-			if p == nil {
-				g.log("group %d: no primary known", grp.id)
-			} else {
-				g.log("group %d: primary %v, told by an answer: %v", grp.id, p.id, p.role == rolePrimary)
-			}
+			g.log("group %d: %s", grp.id, p.asPrimary())
 		}
-		if g.now-g.sweptAt > fadeClass {
+		if sweep {
 			low := grp.passed()
 			maps.DeleteFunc(grp.tokens, func(_ uint64, at Nanos) bool { return at <= low })
 		}
 	}
-	if g.now-g.sweptAt > fadeClass {
+	if sweep {
 		g.sweptAt = g.now
 		maps.DeleteFunc(g.unserved, func(k unserved, at Nanos) bool {
 			return g.now-at > g.site.Classes[k.class].HardLimit
@@ -548,8 +545,7 @@
 		// The loser of two copies, or work whose client has its answer, is called off.
 		for i := range t.subs {
 			if s := &t.subs[i]; !s.over && !s.cancelled && g.site.Limits.Cancelling && c.Effect == "repeatable" {
-				s.cancelled = true
-				return Decision{Kind: Cancel, Txn: t.id, No: uint16(i)}, true
+				return t.cancel(i), true
 			}
 		}
 		return Decision{}, false
@@ -558,12 +554,10 @@
 	// sent that could show that it is over.
 	need := min(Nanos(hopeless*g.expected(t.class)), c.Aim/2)
 	last := t.expiry - 2*g.site.Tick
-	if t.out == 0 {
-		if c.LateValue == 0 && !g.worthless(t) {
-			last = min(last, t.aim-need)
-		} else {
-			last = min(last, t.expiry-need)
-		}
+	if t.out == 0 && c.LateValue == 0 && !g.worthless(t) {
+		last = min(last, t.aim-need)
+	} else if t.out == 0 {
+		last = min(last, t.expiry-need)
 	}
 	// A txn that can no longer be served in time gets its answer at once.
 	if g.now >= last || (t.out == 0 && !g.maySubmit(t)) {
@@ -580,8 +574,7 @@
 			if g.site.Limits.MayDuplicate {
 				g.queue(t)
 			} else if g.site.Limits.Cancelling {
-				s.cancelled = true
-				return Decision{Kind: Cancel, Txn: t.id, No: uint16(i)}, true
+				return t.cancel(i), true
 			}
 		}
 	}
@@ -636,8 +629,8 @@
 		t.group.scout = nil
 	}
 	c := &g.site.Classes[t.class]
-	unrun := t.ranAt == 0 && t.out == 0
-	if unrun || c.Effect == "repeatable" || (c.Effect == "by_key" && c.Group == "all") {
+	again := c.Effect == "repeatable" || c.Effect == "by_key" && c.Group == "all"
+	if again || t.ranAt == 0 && t.out == 0 {
 		after := Nanos(0)
 		if g.site.Limits.RetryAfter {
 			after = min(c.Aim, g.site.Limits.MaxRetryAfter) // about how long what waits here takes to clear
@@ -647,20 +640,41 @@
 	return Decision{Kind: RollBack, Txn: t.id}
 }
 
-// rowValue is what a unit of service time earns in a row of waiting txns.
+// rowValue is what a unit of service time earns in a row of waiting txns. What the worst served class is
+// short of counts by its weight in the objective as well.
 func (g *Gateway) rowValue(row int) float64 {
 	n := len(g.site.Classes)
-	c := &g.site.Classes[row%n]
+	class := row % n
+	c, s := &g.site.Classes[class], &g.service[class]
+	value := c.Worth
+	if class == g.poorest {
+		value += g.site.ObjectiveMix.WorstClass * g.asked / max(1, s.came.read(g.now, fadeClass))
+	}
 	if row >= 2*n {
-		return c.Worth * c.LateValue / g.expected(row%n)
+		value *= c.LateValue
+	}
+	return value / g.expected(class)
+}
+
+// rank orders the rows anew.
+func (g *Gateway) rank() {
+	g.asked = 0
+	low := 2.0
+	for class := range g.service {
+		s := &g.service[class]
+		came := s.came.read(g.now, fadeClass)
+		g.asked += g.site.Classes[class].Worth * came
+		if share := (s.intime.read(g.now, fadeClass) + 1) / (came + 1); share < low {
+			low, g.poorest = share, class
+		}
 	}
-	return c.Worth / g.expected(row%n)
+	slices.SortStableFunc(g.ranking, func(a, b int) int { return cmp.Compare(g.rowValue(b), g.rowValue(a)) })
 }
 
 // dispatch sends waiting txns, group by group, those of most value for their service time first.
 func (g *Gateway) dispatch() (Decision, bool) {
 	if g.cursor == 0 {
-		slices.SortStableFunc(g.ranking, func(a, b int) int { return cmp.Compare(g.rowValue(b), g.rowValue(a)) })
+		g.rank()
 	}
 	for g.cursor < len(g.groups)*len(g.ranking) {
 		grp, row := g.groups[g.cursor/len(g.ranking)], g.ranking[g.cursor%len(g.ranking)]
@@ -751,8 +765,8 @@
 	if checked && !t.passed {
 		// Step 4 where replicas check: their hold is the wait. One that cannot make it within that is
 		// left alone.
-		m = g.pick(t, func(m *member) bool { return m != p && g.now-g.behind(m)+g.site.Family.Hold >= floor })
-		if m != nil {
+		likely := func(m *member) bool { return m != p && g.now-g.behind(m)+g.site.Family.Hold >= floor }
+		if m = g.pick(t, likely); m != nil {
 			return m
 		}
 	}
@@ -767,8 +781,8 @@
 		t.passed = true
 	}
 	// Step 5, and step 6's else: the primary; where replicas check, a guess will do.
-	if p != nil && !p.suspect && (p.role == rolePrimary || checked) {
-		return g.spare(t, p)
+	if m = g.spare(t, p); m != nil || p != nil && !p.suspect && (p.role == rolePrimary || checked) {
+		return m
 	}
 	// No primary to fall back on: where replicas check, they are tried again after a pause.
 	if checked && g.now >= t.pauseTo {
@@ -781,7 +795,8 @@
 // less the nearer its latency comes to what cuts the limit, so that the reads of all gateways make way
 // before anyone's writes have to.
 func (g *Gateway) spare(t *txn, p *member) *member {
-	if p == nil || p.suspect || !g.room(p, t) || (p.role != rolePrimary && g.site.Family.WhenBehind == "none") {
+	sure := p != nil && (p.role == rolePrimary || g.site.Family.WhenBehind != "none")
+	if !sure || p.suspect || !g.room(p, t) {
 		return nil
 	}
 	for row, w := range t.group.waiting {
@@ -790,10 +805,10 @@
 		}
 	}
 	late := p.late.read(g.now, fadeLatency) / (p.ends.read(g.now, fadeLatency) + 1)
-	if float64(p.out) >= p.limit*(1-late/g.lateLimit(p)) {
-		return nil
+	if float64(p.out) < p.limit*(1-late/g.lateLimit(p)) {
+		return p
 	}
-	return p
+	return nil
 }
 
 // placeOnPrimary is step 1; without a primary that answers, one write at a time tries the members in turn.
@@ -873,11 +888,10 @@
 // probe asks by probes where their reports hold a position.
 func (g *Gateway) probe() (Decision, bool) {
 	shown := g.site.LoadReport.How != "none" && slices.Contains(g.site.LoadReport.Fields, "x0")
-	if !g.site.Limits.Probes || !shown {
-		return Decision{}, false
-	}
-	if m := g.unheard(g.order); m != nil {
-		return Decision{Kind: Probe, Server: m.id}, true
+	if g.site.Limits.Probes && shown {
+		if m := g.unheard(g.order); m != nil {
+			return Decision{Kind: Probe, Server: m.id}, true
+		}
 	}
 	return Decision{}, false
 }
@@ -889,11 +903,10 @@
 		g.site.LoadReport.How != "none" || g.site.Limits.MaxAttempts < 4 {
 		return nil
 	}
-	m := g.unheard(t.group.members)
-	if m != nil && m.suspect {
-		return nil
+	if m := g.unheard(t.group.members); m != nil && !m.suspect {
+		return m
 	}
-	return m
+	return nil
 }
 
 // pick is the least loaded member with room among those that will do.
@@ -933,12 +946,7 @@
 
 // allSuspect: when every member is suspect the fault is more likely here or on the way, so none is avoided.
 func (g *Gateway) allSuspect(grp *group) bool {
-	for _, m := range grp.members {
-		if !m.barred && !m.suspect {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(grp.members, func(m *member) bool { return !m.barred && !m.suspect })
 }
 
 // warmEnough keeps a cold member from being pushed over. It may get the share that its age assures it
--- a/decide/site.go
+++ b/decide/site.go
@@ -47,11 +47,8 @@
 	}
 	Zone           int `json:"locality"`
 	MembershipMode string
-	OverShareWorth float64
-	Parties        []struct {
-		Quota float64 `json:"quotaRps"`
-	}
-	Rules struct {
+	ObjectiveMix   struct{ WorstClass float64 }
+	Rules          struct {
 		AskWithin    Nanos `json:"askWithinMs"`
 		ColdFrom     float64
 		Cold         Nanos `json:"coldMs"`
--- a/decide/state.go
+++ b/decide/state.go
@@ -95,7 +95,7 @@
 // txn is one request of a client, kept until it is answered and its submissions are over.
 type txn struct {
 	id                           uint64
-	class, tenant                int
+	class                        int
 	group                        *group
 	session                      uint64
 	token                        Nanos // position that a read must see; 0 is none
@@ -114,6 +114,7 @@
 // many left early after what stay.
 type service struct {
 	sum, n, came, left, stay decaying
+	intime                   decaying
 	usual                    mode
 }
 
@@ -170,6 +171,8 @@
 	askSpan    Nanos
 	sweptAt    Nanos
 	shedding   bool
+	poorest    int      // the class served worst of late
+	asked      float64  // worth that came of late
 	given      decaying // txns given up unserved
 }
 
@@ -266,3 +269,20 @@
 	}
 	return sum / float64(len(upper))
 }
+
+// asPrimary names a group's primary for the log.
+func (m *member) asPrimary() string {
+	switch {
+	case m == nil:
+		return "no primary known"
+	case m.role == rolePrimary:
+		return fmt.Sprintf("primary %v, told by an answer or a report", m.id)
+	}
+	return fmt.Sprintf("primary %v, named by the list alone", m.id)
+}
+
+// cancel calls a submission off.
+func (t *txn) cancel(no int) Decision {
+	t.subs[no].cancelled = true
+	return Decision{Kind: Cancel, Txn: t.id, No: uint16(no)}
+}
