A cold member that answers as if uncrowded may get more than its peers' share

Covers releases, restarts and lost zones. Harm: a burst at all gateways at once may overshoot within the 2 s memory.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -949,11 +949,10 @@
 	return !slices.ContainsFunc(grp.members, func(m *member) bool { return !m.barred && !m.suspect })
 }
 
-// warmEnough keeps a cold member from being pushed over. It may get the share that its age assures it
-// can do of what the busier half of its warm peers got from here of late. A mean over a long span is
-// nearly additive, so all gateways together send it little more than that share of what a warm one
-// carries, however uneven their traffic is; the busiest peer's figure of a second is not, and pushed a
-// member over where many gateways had little traffic each.
+// warmEnough keeps a cold member from being pushed over. It may get the share that its age assures it can do
+// of what the busier half of its warm peers got from here. A mean over a long span is nearly additive, so all
+// gateways together stay within that share of what a warm one carries, however uneven their traffic is; the
+// busiest peer's figure of a second is not, and pushed a member over where many gateways had little traffic.
 func (g *Gateway) warmEnough(m *member) bool {
 	r := &g.site.Rules
 	age := g.now - m.startedAt
@@ -978,14 +977,16 @@
 			guides[1] = append(guides[1], sent)
 		}
 	}
-	peers := 0.0
-	for i := 2; i >= 0; i-- {
-		if len(guides[i]) > 0 {
-			peers = upperMean(guides[i])
-		}
-	}
+	nearest := slices.IndexFunc(guides[:], func(sent []float64) bool { return len(sent) > 0 })
+	peers := upperMean(guides[max(0, nearest)])
 	share := r.ColdFrom + (1-r.ColdFrom)*max(0, float64(age)/float64(r.Cold))
 	mine := m.sent.read(g.now, r.OverloadFor)
 	share *= min(coldPart*r.FallMultiple, r.FallMultiple-1)
+	if m.late.read(g.now, fadeLatency) < g.lateLimit(m)/2*m.ends.read(g.now, fadeLatency) {
+		// It answers as quickly as if uncrowded, so what it gets now it can do: that may grow by a part of
+		// what the rule's multiple leaves, however little its peers carry.
+		own := m.carried.read(g.now, fadeClass) * float64(r.OverloadFor) / max(seen, float64(r.OverloadFor))
+		peers = max(peers, own*(1+r.FallMultiple)/2/share)
+	}
 	return m.out == 0 && mine < share*g.expected(0) || mine < share*peers
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -217,9 +217,9 @@
 	//  11500 submit 3 to a
 	//  11500 submit 4 to b
 	//  11520 submit 5 to a
-	//  11520 submit 6 to a
+	//  11520 submit 6 to b
 	//  11520 submit 7 to a
-	//  11520 submit 8 to a
+	//  11520 submit 8 to b
 	//  11520 submit 9 to a
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -260,8 +260,11 @@
 // reached raises a proven position; one that was proven holds for good, through changes of role as well.
 func (m *member) reached(at Nanos) { m.position = max(m.position, at) }
 
-// upperMean is the mean of the larger half.
+// upperMean is the mean of the larger half, 0 of nothing.
 func upperMean(x []float64) float64 {
+	if len(x) == 0 {
+		return 0
+	}
 	slices.Sort(x)
 	sum, upper := 0.0, x[len(x)/2:]
 	for _, v := range upper {
