Writes ask replicas for their position only after two seconds without a word

It stays for groups whose reads all need proof, where nothing else would ever prove a replica. Harm: a caught-up replica there is known up to two seconds late.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,6 +23,7 @@
 	boundMargin  = 0.02      // of a bound, kept in hand: proven positions err on the safe side already
 	holdPart     = 20        // a write with no primary holds this part of its time between rounds of misses
 	askSpan      = 200 * ms  // a replica is asked for its position this often at most: a session's pause
+	askWrite     = 2000 * ms // by a write on its way only when reads have told nothing for this long
 	askPart      = 8         // or once in this part of its lag, which it cannot make up sooner
 	askFirst     = 250 * ms  // list calls that fail are made again after this, doubled and jittered
 	pulse        = 5 * ms    // how often open txns are looked at: often against any SLA time
@@ -185,8 +186,7 @@
 	}
 }
 
-// Probed tells what a probe found; a shallow answer shows a position and a role, where reports hold
-// them, not health.
+// Probed tells what a probe found: a position and a role, where reports hold them, but nothing of health.
 func (g *Gateway) Probed(server Server, r Result, _ Nanos, report []float32) {
 	if m := g.members[server]; m != nil && r == Committed {
 		g.heardReport(m, report)
@@ -257,8 +257,7 @@
 	g.askSpan = min(g.askSpan*2, g.site.Rules.AskWithin/4)
 }
 
-// bars tells whether a member may get nothing new. Where the list is no proof of what runs, only a seen
-// drain bars.
+// bars: a member may get nothing new. Where the list is no proof of what runs, only a seen drain bars.
 func (g *Gateway) bars(m *member) bool {
 	return !m.ready && (m.drained || !g.site.Rules.SoftRemoval)
 }
@@ -864,14 +863,13 @@
 // which nobody tells the end of is tried again. No read that a server does not check relies on it.
 func (g *Gateway) behind(m *member) Nanos { return max(0, m.lag-(g.now-m.lagAt)) }
 
-// unheard is a replica that reads passed over for want of proof and that should be asked for its
-// position: without that, one which gets no reads for want of proof would never be known to have caught
-// up.
-func (g *Gateway) unheard(members []*member) *member {
+// unheard is a replica that reads passed over for want of proof and that should be asked for its position:
+// else one that gets no reads for that reason would never be known to have caught up.
+func (g *Gateway) unheard(members []*member, span Nanos) *member {
 	var best *member
 	for _, m := range members {
 		last := max(m.heardAt, m.askedAt)
-		if m.barred || m.role == rolePrimary || last >= m.lackAt || g.now-last < max(askSpan, m.lag/askPart) ||
+		if m.barred || m.role == rolePrimary || last >= m.lackAt || g.now-last < max(span, m.lag/askPart) ||
 			!g.warmEnough(m) { // what a cold member turns away counts as work too
 			continue
 		}
@@ -889,7 +887,7 @@
 func (g *Gateway) probe() (Decision, bool) {
 	shown := g.site.LoadReport.How != "none" && slices.Contains(g.site.LoadReport.Fields, "x0")
 	if g.site.Limits.Probes && shown {
-		if m := g.unheard(g.order); m != nil {
+		if m := g.unheard(g.order, askSpan); m != nil {
 			return Decision{Kind: Probe, Server: m.id}, true
 		}
 	}
@@ -903,7 +901,7 @@
 		g.site.LoadReport.How != "none" || g.site.Limits.MaxAttempts < 4 {
 		return nil
 	}
-	if m := g.unheard(t.group.members); m != nil && !m.suspect {
+	if m := g.unheard(t.group.members, askWrite); m != nil && !m.suspect {
 		return m
 	}
 	return nil
