Rounds touch only members with work in flight and groups with waiting txns

Members with work, groups with entries and members passed over are now kept in lists; rows are ranked every 100 ms; with nothing waiting a gateway looks up every 20 ms. No decision is meant to change. Harm: silence is seen up to 20 ms later.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,6 +27,8 @@
 	askPart      = 8         // or once in this part of its lag, which it cannot make up sooner
 	askFirst     = 250 * ms  // list calls that fail are made again after this, doubled and jittered
 	pulse        = 5 * ms    // how often open txns are looked at: often against any SLA time
+	idlePulse    = 20 * ms   // the same while all of them are in flight: short against any answer
+	rankSpan     = 100 * ms  // rows are ranked anew after this: they change with means of seconds
 	fadeLatency  = 2000 * ms // memory of a member's speed: long against an answer, short against a trouble
 	fadeClass    = 5000 * ms // memory of a txn type's service time: steadier than any one member
 	silentMeans  = 12.0      // a suspect's work in flight has waited for this many mean latencies in all
@@ -235,6 +237,7 @@
 	g.order = g.order[:0]
 	for _, grp := range g.groups {
 		g.order = append(g.order, grp.members...)
+		g.notePrimary(grp)
 	}
 	if scope == CachedList {
 		// All gateways may have started together: the first call is spread.
@@ -265,6 +268,7 @@
 // heardNote takes an answer's word on role and position.
 func (g *Gateway) heardNote(m *member, note uint32) {
 	if role := int(note & 3); role == rolePrimary || role == roleReplica {
+		changed := m.role != role
 		m.role, m.roleAt = role, g.now
 		for _, o := range m.group.members {
 			// One primary at a time: the newest word wins, whichever way the other's answers are late.
@@ -272,6 +276,9 @@
 				o.role = roleUnknown
 			}
 		}
+		if changed {
+			g.notePrimary(m.group)
+		}
 	}
 	if at := Nanos(note>>2) * Millisecond; at > 0 {
 		m.reached(g.site.Family.Zero + at)
@@ -299,8 +306,9 @@
 				if report[i] == 1 && m.role != rolePrimary {
 					g.heardNote(m, rolePrimary)
 					m.roleAt = 0
-				} else if report[i] != 1 {
+				} else if report[i] != 1 && m.role != roleReplica {
 					m.role = roleReplica
+					g.notePrimary(m.group)
 				}
 			}
 		}
@@ -444,6 +452,8 @@
 		row += len(g.site.Classes)
 	}
 	t.waiting = true
+	t.group.queued++
+	g.queued++
 	t.group.waiting[row] = append(t.group.waiting[row], t)
 }
 
@@ -481,6 +491,9 @@
 		return Decision{}, false
 	}
 	g.wakeAt = g.now + max(pulse, g.site.Tick)
+	if g.queued == 0 {
+		g.wakeAt = g.now + max(idlePulse, g.site.Tick) // nothing waits: only silence is to be seen
+	}
 	return Decision{Kind: Wake, After: g.wakeAt - g.now}, true
 }
 
@@ -490,11 +503,12 @@
 		if g.now < g.reviewAt {
 			return Decision{}, false
 		}
-		for _, m := range g.order {
+		g.busy = slices.DeleteFunc(g.busy, func(m *member) bool { m.busy = m.out > 0; return !m.busy })
+		for _, m := range g.busy {
 			quiet, mean := float64(g.now-m.quietSince), g.meanLatency(m)
 			// Work that was sent after the last answer has waited for less than the quiet lasts.
 			waited := min(quiet*float64(m.out), float64(g.now*Nanos(m.out)-m.sentSum))
-			if m.out > 0 && quiet > silentLeast*mean && waited > silentMeans*mean {
+			if quiet > silentLeast*mean && waited > silentMeans*mean {
 				g.suspects(m, "silent")
 			}
 		}
@@ -512,6 +526,14 @@
 	return Decision{}, false
 }
 
+// notePrimary logs a change of primary.
+func (g *Gateway) notePrimary(grp *group) {
+	if p := g.primaryOf(grp); p != grp.primary {
+		grp.primary = p
+		g.log("group %d: %s", grp.id, p.asPrimary())
+	}
+}
+
 // tidy prunes tokens and logs changes of mode that no single input brings.
 func (g *Gateway) tidy() {
 	given := g.given.read(g.now, fadeLatency)
@@ -519,19 +541,12 @@
 		g.shedding = !g.shedding
 		g.log("giving up unserved txns: %v, %.0f of late", g.shedding, given)
 	}
-	sweep := g.now-g.sweptAt > fadeClass
-	for _, grp := range g.groups {
-		if p := g.primaryOf(grp); p != grp.primary {
-			grp.primary = p
-			g.log("group %d: %s", grp.id, p.asPrimary())
-		}
-		if sweep {
+	if g.now-g.sweptAt > fadeClass {
+		g.sweptAt = g.now
+		for _, grp := range g.groups {
 			low := grp.passed()
 			maps.DeleteFunc(grp.tokens, func(_ uint64, at Nanos) bool { return at <= low })
 		}
-	}
-	if sweep {
-		g.sweptAt = g.now
 		maps.DeleteFunc(g.unserved, func(k unserved, at Nanos) bool {
 			return g.now-at > g.site.Classes[k.class].HardLimit
 		})
@@ -672,12 +687,17 @@
 
 // dispatch sends waiting txns, group by group, those of most value for their service time first.
 func (g *Gateway) dispatch() (Decision, bool) {
-	if g.cursor == 0 {
+	if g.queued > 0 && g.now >= g.rankAt {
+		g.rankAt = g.now + rankSpan
 		g.rank()
 	}
-	for g.cursor < len(g.groups)*len(g.ranking) {
+	for g.queued > 0 && g.cursor < len(g.groups)*len(g.ranking) {
 		grp, row := g.groups[g.cursor/len(g.ranking)], g.ranking[g.cursor%len(g.ranking)]
-		grp.waiting[row] = slices.DeleteFunc(grp.waiting[row], func(t *txn) bool { return t.done || !t.waiting })
+		if grp.queued == 0 {
+			g.cursor += len(g.ranking)
+			continue
+		}
+		g.prune(grp, row)
 		// Newest first once the oldest has waited for a good part of its SLA time: in a jam the old are shed
 		// whatever is done, and first in, first out would serve everybody late.
 		w := grp.waiting[row]
@@ -700,6 +720,9 @@
 }
 
 func (g *Gateway) submit(t *txn, m *member) Decision {
+	if !m.busy {
+		m.busy, g.busy = true, append(g.busy, m)
+	}
 	if m.out == 0 {
 		m.quietSince = g.now
 	}
@@ -751,7 +774,7 @@
 	// Steps 2, 3, 6 and 7: a replica that needs no proof or is known to have reached the floor.
 	m := g.pick(t, func(m *member) bool {
 		if m != p && m.position < floor {
-			m.lackAt = g.now
+			g.lacks(m)
 		}
 		return m != p && m.position >= floor
 	})
@@ -887,7 +910,8 @@
 func (g *Gateway) probe() (Decision, bool) {
 	shown := g.site.LoadReport.How != "none" && slices.Contains(g.site.LoadReport.Fields, "x0")
 	if g.site.Limits.Probes && shown {
-		if m := g.unheard(g.order, askSpan); m != nil {
+		g.lacking = slices.DeleteFunc(g.lacking, (*member).told)
+		if m := g.unheard(g.lacking, askSpan); m != nil {
 			return Decision{Kind: Probe, Server: m.id}, true
 		}
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -63,6 +63,8 @@
 	roleAt                    Nanos // when an answer told the role last
 	named                     bool  // the list says that it is the primary
 	out                       int   // submissions in flight from here
+	busy                      bool  // in the gateway's list of those with something in flight
+	lacking                   bool  // in the gateway's list of those that were passed over
 	sentSum                   Nanos // sum of the times at which they were sent
 	limit                     float64
 	elapsed, slow, late, ends decaying // over answers: latency; in service times; in SLA times; their count
@@ -79,6 +81,7 @@
 	id      int
 	members []*member
 	waiting [][]*txn         // by row: for each txn type those in time, those that need no proof, the late
+	queued  int              // entries in those rows, those of ended txns that are not pruned yet too
 	scout   *txn             // the write that is trying members in turn
 	primary *member          // as last logged
 	tokens  map[uint64]Nanos // last commits of sessions, where they are kept here
@@ -152,6 +155,8 @@
 	rng        pcg
 	members    map[Server]*member
 	order      []*member
+	busy       []*member // with something in flight, or a moment ago
+	lacking    []*member // passed over for want of proof and not asked since
 	groups     []*group
 	txns       map[uint64]*txn
 	open       []*txn
@@ -170,6 +175,8 @@
 	askAt      Nanos
 	askSpan    Nanos
 	sweptAt    Nanos
+	rankAt     Nanos
+	queued     int
 	shedding   bool
 	poorest    int      // the class served worst of late
 	asked      float64  // worth that came of late
@@ -289,3 +296,27 @@
 	t.subs[no].cancelled = true
 	return Decision{Kind: Cancel, Txn: t.id, No: uint16(no)}
 }
+
+// prune takes ended txns, and those that were sent, out of a row.
+func (g *Gateway) prune(grp *group, row int) {
+	before := len(grp.waiting[row])
+	grp.waiting[row] = slices.DeleteFunc(grp.waiting[row], func(t *txn) bool { return t.done || !t.waiting })
+	gone := before - len(grp.waiting[row])
+	grp.queued -= gone
+	g.queued -= gone
+}
+
+// lacks notes that a read passed a member over for want of proof.
+func (g *Gateway) lacks(m *member) {
+	m.lackAt = g.now
+	if !m.lacking {
+		m.lacking = true
+		g.lacking = append(g.lacking, m)
+	}
+}
+
+// told tells, and notes, that a member was heard of since a read last passed it over.
+func (m *member) told() bool {
+	m.lacking = m.heardAt < m.lackAt && m.askedAt < m.lackAt
+	return !m.lacking
+}
