Reads use a primary that only the list names, thinned by what was seen of all primaries

Cause: with hundreds of gateways each reads a few txns a minute from a primary; none has a mean of its own, and each one's limit let reads through until the primaries turned away as full. Now a primary's latency leans on that of all primaries, and a read goes there by chance, drawn once a txn, from half of the latency that cuts limits. Also covers: any burst of fallbacks from many gateways at once. Harm: where one primary is crowded and others are not, reads keep off all until that one's own answers count.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -46,6 +46,8 @@
 	baseMost     = 0.35      // and at most: a gateway that starts in a jam must not take that for its base
 	baseCount    = 50        // answers lately that a mean needs to count
 	baseCreep    = 1e-4      // part of the difference by which the base rises with each answer
+	leanCount    = 2.0       // answers of a member itself that weigh as much as all of its peers together
+	luckPart     = 2.0       // reads keep off primaries by chance from half of the latency that cuts limits
 	hopeless     = 1.2       // mean service times that must be left for a txn to be worth sending
 	rescueMeans  = 2.0       // service times after which a read on a suspect is taken elsewhere
 	farPenalty   = 1.15      // a member elsewhere must be this much less loaded to be preferred
@@ -370,6 +372,10 @@
 	m.slow.add(g.now, fadeLatency, x/g.expected(t.class))
 	late := x / float64(g.patience(t.class))
 	m.late.add(g.now, fadeLatency, late)
+	if m.role == rolePrimary {
+		g.primaries.late.add(g.now, fadeClass, late)
+		g.primaries.ends.add(g.now, fadeClass, 1)
+	}
 	g.learnBase(late)
 	m.elapsed.add(g.now, fadeLatency, x)
 	m.ends.add(g.now, fadeLatency, 1)
@@ -803,7 +809,7 @@
 		t.passed = true
 	}
 	// Step 5, and step 6's else: the primary; where replicas check, a guess will do.
-	if m = g.spare(t, p); m != nil || p != nil && !p.suspect && (p.role == rolePrimary || checked) {
+	if m = g.spare(t, p); m != nil || p != nil && !p.suspect && (p.role == rolePrimary || p.named || checked) {
 		return m
 	}
 	// No primary to fall back on: where replicas check, they are tried again after a pause.
@@ -817,7 +823,7 @@
 // less the nearer its latency comes to what cuts the limit, so that the reads of all gateways make way
 // before anyone's writes have to.
 func (g *Gateway) spare(t *txn, p *member) *member {
-	sure := p != nil && (p.role == rolePrimary || g.site.Family.WhenBehind != "none")
+	sure := p != nil && (p.role == rolePrimary || p.named || g.site.Family.WhenBehind != "none")
 	if !sure || p.suspect || !g.room(p, t) {
 		return nil
 	}
@@ -826,13 +832,25 @@
 			return nil
 		}
 	}
-	late := p.late.read(g.now, fadeLatency) / (p.ends.read(g.now, fadeLatency) + 1)
-	if float64(p.out) < p.limit*(1-late/g.lateLimit(p)) {
+	// A gateway that sends a primary one txn in many seconds judges it by what it saw of all primaries, and
+	// as hundreds of gateways see the same, each lets through no more than a share of its reads, by chance.
+	if t.luck == 0 {
+		t.luck = g.rng.unit()
+	}
+	free := 1 - g.primaryLate(p)/g.lateLimit(p)
+	if float64(p.out) < p.limit*free && t.luck < luckPart*free {
 		return p
 	}
 	return nil
 }
 
+// primaryLate is a primary's mean latency in SLA times, leaning on that of all primaries as far as it was seen
+// little of late.
+func (g *Gateway) primaryLate(p *member) float64 {
+	all := (g.primaries.late.read(g.now, fadeClass) + g.base) / (g.primaries.ends.read(g.now, fadeClass) + 1)
+	return (p.late.read(g.now, fadeLatency) + leanCount*all) / (p.ends.read(g.now, fadeLatency) + leanCount)
+}
+
 // placeOnPrimary is step 1; without a primary that answers, one write at a time tries the members in turn.
 func (g *Gateway) placeOnPrimary(t *txn, p *member, write bool) *member {
 	if p != nil && !p.suspect {
--- a/decide/state.go
+++ b/decide/state.go
@@ -107,9 +107,10 @@
 	subs                         []submission
 	out                          int
 	waiting, done                bool
-	ranAt                        Nanos // sending of the first submission that may have run
-	waitFrom                     Nanos // step 4's wait began; 0 is not yet
-	passed                       bool  // step 5: the wait is over, only the primary will do
+	ranAt                        Nanos   // sending of the first submission that may have run
+	waitFrom                     Nanos   // step 4's wait began; 0 is not yet
+	passed                       bool    // step 5: the wait is over, only the primary will do
+	luck                         float64 // drawn once, so that looking again does not raise its chance
 	pauseTo                      Nanos
 }
 
@@ -160,10 +161,11 @@
 	groups     []*group
 	txns       map[uint64]*txn
 	open       []*txn
-	service    []service // by txn type
-	ranking    []int     // rows of waiting txns, most value for service time first
-	base       float64   // latency in SLA times when nothing is crowded
-	late, ends decaying  // of all answers, as for a member
+	service    []service                     // by txn type
+	ranking    []int                         // rows of waiting txns, most value for service time first
+	base       float64                       // latency in SLA times when nothing is crowded
+	late, ends decaying                      // of all answers, as for a member
+	primaries  struct{ late, ends decaying } // of answers of primaries
 	listed     map[Server]bool
 	unserved   map[unserved]Nanos // when the session's first try of its last txn came, if that was not served
 	lines      []string
