Cold members get a share of the mean demand, each gateway's first one at a time drawn by chance

Cause: an idle cold member was always granted one submission by each gateway, and a suspect's trials were outside the budget: hundreds of gateways pushed members over 1 to 3 s after their start. The budget is now a share of the mean demand on a member, which adds up over any number of gateways and needs no warm peer; it starts below nothing at a point drawn by chance, and trials count. Also covers: a fleet that doubles, a restarted gateway that knows no peers. Harm: a cold primary gets less than its writes for some seconds.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -55,7 +55,7 @@
 	jamPart      = 4         // part of its SLA time that a row's oldest waits before newest are first
 	scanDepth    = 64        // waiting txns of a row looked at in a round: bounds the work in a jam
 	shedOn       = 10.0      // txns given up within the last seconds that are worth a line in the log
-	coldPart     = 0.5       // of the multiple at which a cold member falls over: what may be planned for
+	coldPart     = 0.7       // of the multiple at which a cold member falls over: what may be planned for
 	usualSteps   = 50        // a time for a try within this part of the client's limit of the usual one is usual
 )
 
@@ -114,6 +114,9 @@
 	case "strong":
 		t.token = g.now
 	}
+	if t.first == g.now {
+		g.demand.add(g.now, fadeClass, g.expected(class)) // repeats do not raise what members can do
+	}
 	g.txns[id], g.open = t, append(g.open, t)
 	g.queue(t)
 	return nil
@@ -216,9 +219,8 @@
 		m.limit = limitStart
 	}
 	if start > m.startedAt {
-		// It runs anew, cold: what was measured of its last run tells nothing of this one.
-		m.startedAt, m.limit, m.suspect = start, 1, false
-		m.elapsed, m.slow, m.late, m.ends = decaying{}, decaying{}, decaying{}, decaying{}
+		m.suspect = false
+		g.starts(m, start)
 	}
 	m.zone, m.kind, m.named = zone, kind, named
 	m.ready = st == Ready
@@ -236,9 +238,13 @@
 		}
 	}
 	clear(g.listed)
-	g.order = g.order[:0]
+	g.serving = 0
 	for _, grp := range g.groups {
-		g.order = append(g.order, grp.members...)
+		for _, m := range grp.members {
+			if !m.barred {
+				g.serving++
+			}
+		}
 		g.notePrimary(grp)
 	}
 	if scope == CachedList {
@@ -247,7 +253,7 @@
 		return
 	}
 	if !g.follows && g.site.MembershipMode == "ask" {
-		g.log("list followed, %d members", len(g.order))
+		g.log("list followed, %d members", g.serving)
 	}
 	g.follows, g.askSpan = true, askFirst
 }
@@ -347,7 +353,7 @@
 			if m.unreached {
 				// It may have started anew, and the list tells that seconds late, if at all: until then
 				// it was sent all at once what pushed it over.
-				m.startedAt = g.now
+				g.starts(m, g.now)
 			}
 			g.log("member %v answers again after %d ms, cold: %v", m.id, (g.now-m.suspectAt)/ms, m.unreached)
 		}
@@ -736,7 +742,7 @@
 		m.trial = min(m.trial*2, trialLast)
 		m.trialAt = g.now + m.trial
 	}
-	m.sent.add(g.now, g.site.Rules.OverloadFor, g.expected(t.class))
+	m.credit -= g.expected(t.class)
 	m.carried.add(g.now, fadeClass, g.expected(t.class))
 	t.opened(m, g.now)
 	t.waiting = false
@@ -975,7 +981,7 @@
 	}
 	if m.suspect && (m.unreached || !g.allSuspect(t.group)) {
 		safe := m.unreached || g.site.Classes[t.class].Effect == "repeatable"
-		return g.now >= m.trialAt && safe && t.out == 0 && g.now >= t.pauseTo
+		return g.now >= m.trialAt && safe && t.out == 0 && g.now >= t.pauseTo && g.warmEnough(m)
 	}
 	limit := m.limit
 	if g.worthless(t) {
@@ -989,44 +995,37 @@
 	return !slices.ContainsFunc(grp.members, func(m *member) bool { return !m.barred && !m.suspect })
 }
 
-// warmEnough keeps a cold member from being pushed over. It may get the share that its age assures it can do
-// of what the busier half of its warm peers got from here. A mean over a long span is nearly additive, so all
-// gateways together stay within that share of what a warm one carries, however uneven their traffic is; the
-// busiest peer's figure of a second is not, and pushed a member over where many gateways had little traffic.
+// warmEnough keeps a cold member from being pushed over. Its budget is the share that its age assures it can
+// do of the mean demand on a member, as this gateway sees it: a mean is additive, so the budgets of all
+// gateways together are that share of the whole demand, however few or uneven they are, with no warm peer
+// needed. Each starts at a point drawn by chance below nothing: else hundreds would send their first at once.
 func (g *Gateway) warmEnough(m *member) bool {
 	r := &g.site.Rules
 	age := g.now - m.startedAt
 	if m.startedAt == 0 || age >= r.Cold {
 		return true
 	}
-	// Nearest guides first: of its kind and role, of its kind, any; another kind may be larger.
-	var guides [3][]float64
-	seen := -float64(fadeClass) * math.Expm1(-float64(g.now-g.startedAt)/float64(fadeClass))
-	for _, o := range g.order {
-		if o.barred || o.suspect || o.startedAt > 0 && g.now-o.startedAt < r.Cold {
-			continue
-		}
-		sent := o.carried.read(g.now, fadeClass) * float64(r.OverloadFor) / max(seen, float64(r.OverloadFor))
-		switch {
-		case o.kind != m.kind:
-			guides[2] = append(guides[2], sent/r.FallMultiple)
-		case o.role == rolePrimary && m.role == rolePrimary:
-			guides[0] = append(guides[0], sent)
-			fallthrough
-		default:
-			guides[1] = append(guides[1], sent)
-		}
-	}
-	nearest := slices.IndexFunc(guides[:], func(sent []float64) bool { return len(sent) > 0 })
-	peers := upperMean(guides[max(0, nearest)])
 	share := r.ColdFrom + (1-r.ColdFrom)*max(0, float64(age)/float64(r.Cold))
-	mine := m.sent.read(g.now, r.OverloadFor)
-	share *= min(coldPart*r.FallMultiple, r.FallMultiple-1)
+	rate := perSpan(&g.demand, g.now, g.startedAt) / float64(max(1, g.serving)) * share * coldPart * r.FallMultiple
 	if m.late.read(g.now, fadeLatency) < g.lateLimit(m)/2*m.ends.read(g.now, fadeLatency) {
 		// It answers as quickly as if uncrowded, so what it gets now it can do: that may grow by a part of
-		// what the rule's multiple leaves, however little its peers carry.
-		own := m.carried.read(g.now, fadeClass) * float64(r.OverloadFor) / max(seen, float64(r.OverloadFor))
-		peers = max(peers, own*(1+r.FallMultiple)/2/share)
+		// what the rule's multiple leaves, however little the mean demand is.
+		rate = max(rate, perSpan(&m.carried, g.now, max(g.startedAt, m.startedAt))*(1+r.FallMultiple)/2)
 	}
-	return m.out == 0 && mine < share*g.expected(0) || mine < share*peers
+	m.credit = min(m.credit+rate*float64(g.now-m.creditAt), rate*float64(r.OverloadFor)/2)
+	m.creditAt = g.now
+	return m.credit >= 0
+}
+
+// perSpan is the rate of a sum that fades with fadeClass and began at a time.
+func perSpan(d *decaying, now, began Nanos) float64 {
+	seen := -math.Expm1(-float64(max(now-began, pulse)) / float64(fadeClass))
+	return d.read(now, fadeClass) / float64(fadeClass) / seen
+}
+
+// starts takes a member for cold: what was measured of its last run tells nothing of this one.
+func (g *Gateway) starts(m *member, at Nanos) {
+	m.startedAt, m.limit = at, 1
+	m.credit, m.creditAt = -g.rng.unit()*g.expected(0), g.now
+	m.elapsed, m.slow, m.late, m.ends, m.carried = decaying{}, decaying{}, decaying{}, decaying{}, decaying{}
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -123,14 +123,13 @@
 	t.pull()
 	// Output:
 	// 10000 submit 1 to a
-	//  10000 submit 2 to b
+	//  10000 submit 2 to a
 	//  10000 submit 3 to a
 	//  10000 submit 4 to a
 	//  10000 submit 5 to a
 	//  10000 submit 6 to a
 	//  10000 submit 7 to a
 	//  10000 submit 8 to a
-	//  10000 submit 9 to a
 }
 
 // Silence with work out makes a member suspect; its reads move, it keeps a trickle of trials, an answer
@@ -217,9 +216,9 @@
 	//  11500 submit 3 to a
 	//  11500 submit 4 to b
 	//  11520 submit 5 to a
-	//  11520 submit 6 to b
+	//  11520 submit 6 to a
 	//  11520 submit 7 to a
-	//  11520 submit 8 to b
+	//  11520 submit 8 to a
 	//  11520 submit 9 to a
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -68,8 +68,9 @@
 	sentSum                   Nanos // sum of the times at which they were sent
 	limit                     float64
 	elapsed, slow, late, ends decaying // over answers: latency; in service times; in SLA times; their count
-	sent                      decaying // service time sent within the span of the rule on cold members
-	carried                   decaying // the same over a longer span
+	carried                   decaying // service time sent
+	credit                    float64  // service time that a cold member may still be sent
+	creditAt                  Nanos
 	quietSince, grownAt       Nanos
 	suspect, unreached        bool // unreached: no connection, or a broken one, since its last answer
 	suspectAt, trialAt, trial Nanos
@@ -155,7 +156,8 @@
 	startedAt  Nanos // this instance's first round
 	rng        pcg
 	members    map[Server]*member
-	order      []*member
+	serving    int       // members that are not barred
+	demand     decaying  // service time of the first tries that came
 	busy       []*member // with something in flight, or a moment ago
 	lacking    []*member // passed over for want of proof and not asked since
 	groups     []*group
@@ -269,19 +271,6 @@
 // reached raises a proven position; one that was proven holds for good, through changes of role as well.
 func (m *member) reached(at Nanos) { m.position = max(m.position, at) }
 
-// upperMean is the mean of the larger half, 0 of nothing.
-func upperMean(x []float64) float64 {
-	if len(x) == 0 {
-		return 0
-	}
-	slices.Sort(x)
-	sum, upper := 0.0, x[len(x)/2:]
-	for _, v := range upper {
-		sum += v
-	}
-	return sum / float64(len(upper))
-}
-
 // asPrimary names a group's primary for the log.
 func (m *member) asPrimary() string {
 	switch {
