Refused connections only rest a member; where many are refused, idle ones are closed

Symptom: 41 to 49% of submissions got no connection and members were suspect, then taken for cold. Cause: servers accept few connections, and each one carries one submission; idle ones of other gateways fill the allowance. How told from a dead member: the refusal comes at once and not after the connect time-out, the same member answers within less than any restart takes, and many members refuse in the same seconds. So a quick refusal is a rest of about 100 ms; suspicion needs four without an answer over a second; a member that refused and answered in a moment shows a crowd, and is not taken for cold. Over three refusals of late connections are scarce: idle ones are closed after each answer. Also covers: a member at its connection limit for any reason, short restarts. Harm: handshakes for some seconds after a member died, and a dead process is tried once more each 100 ms for a second.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -55,6 +55,9 @@
 	jamPart      = 4         // part of its SLA time that a row's oldest waits before newest are first
 	scanDepth    = 64        // waiting txns of a row looked at in a round: bounds the work in a jam
 	shedOn       = 10.0      // txns given up within the last seconds that are worth a line in the log
+	refusedRest  = 100 * ms  // a member that refused a connection rests this long, give or take a half
+	refusedCount = 4         // refusals with no answer between them that make it suspect, after a second
+	scarceCount  = 3.0       // refusals of late that make connections scarce: one member that is down brings fewer
 	coldPart     = 0.7       // of the multiple at which a cold member falls over: what may be planned for
 	usualSteps   = 50        // a time for a try within this part of the client's limit of the usual one is usual
 )
@@ -161,9 +164,13 @@
 		m.grownAt = g.now
 		t.pauseTo = g.now + pulse
 	case Unreachable:
-		m.unreached = true
 		t.pauseTo = g.now + pulse
-		g.suspects(m, "no connection")
+		if elapsed < g.site.Limits.ConnectTimeout/2 {
+			g.refused(m)
+		} else {
+			m.unreached = true
+			g.suspects(m, "no connection")
+		}
 	case Failed:
 		g.answered(m)
 		s.ran = true
@@ -347,10 +354,18 @@
 // answered notes a sign of life: any answer clears suspicion, whatever raised it.
 func (g *Gateway) answered(m *member) {
 	m.quietSince = g.now
+	if m.refusals > 0 && g.now < m.restTo+longestQuiet {
+		// It refused and answered within less than any restart takes: a crowd at its door, not a new process.
+		g.crowds.add(g.now, fadeClass, 1)
+	}
+	m.refusals = 0
+	if g.scarce() {
+		g.hangUps = append(g.hangUps, m.id)
+	}
 	if m.suspect {
 		if g.now-m.suspectAt > longestQuiet {
 			m.limit = 2
-			if m.unreached {
+			if m.unreached && g.crowds.read(g.now, fadeClass) < 1 {
 				// It may have started anew, and the list tells that seconds late, if at all: until then
 				// it was sent all at once what pushed it over.
 				g.starts(m, g.now)
@@ -361,6 +376,28 @@
 	}
 }
 
+// refused takes a connection that was turned down at once: the machine runs, but its process is down or takes no
+// more connections. Either costs one way there and back, so the member only rests for a moment; suspicion needs
+// refusals alone for longer than a crowd lasts.
+func (g *Gateway) refused(m *member) {
+	g.refusals.add(g.now, fadeClass, 1)
+	if m.refusals++; m.refusals == 1 {
+		m.refusedAt = g.now
+	}
+	m.restTo = g.now + Nanos((0.5+g.rng.unit())*float64(refusedRest))
+	if m.refusals >= refusedCount && g.now-m.refusedAt > longestQuiet {
+		m.unreached = true
+		g.suspects(m, "connections refused")
+	}
+	if scarce := g.scarce(); scarce != g.sparing {
+		g.sparing = scarce
+		g.log("connections scarce: %v, %.0f refused of late", scarce, g.refusals.read(g.now, fadeClass))
+	}
+}
+
+// scarce: so many connections are refused that idle ones are better closed, for other gateways to open theirs.
+func (g *Gateway) scarce() bool { return g.refusals.read(g.now, fadeClass) > scarceCount }
+
 // suspects takes a member out of the ordinary choice until it answers; it keeps getting trials.
 func (g *Gateway) suspects(m *member, why string) {
 	if m.suspect {
@@ -476,7 +513,7 @@
 
 // steps are what a round looks at, in this order.
 var steps = [...]func(*Gateway) (Decision, bool){
-	(*Gateway).ask, (*Gateway).review, (*Gateway).dispatch, (*Gateway).probe, (*Gateway).line, (*Gateway).wake,
+	(*Gateway).ask, (*Gateway).review, (*Gateway).hangUp, (*Gateway).dispatch, (*Gateway).probe, (*Gateway).line, (*Gateway).wake,
 }
 
 // Next gives one decision of this round, or says that there is none left.
@@ -976,7 +1013,7 @@
 
 // room tells whether a member may take one more: its limit, a suspect's trials, a cold member's budget.
 func (g *Gateway) room(m *member, t *txn) bool {
-	if m.barred {
+	if m.barred || g.now < m.restTo {
 		return false
 	}
 	if m.suspect && (m.unreached || !g.allSuspect(t.group)) {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -430,3 +430,22 @@
 	//  10610 decline 3
 	//  10610 decline 4
 }
+
+// Members that answer others refuse connections at once: none is suspect, the refused rest for a moment, and idle
+// connections are closed so that other gateways find room.
+func Example_connectionsScarce() {
+	t := open(`"cancelling"`, `"connectTimeoutMs":250,"cancelling"`).list("a b c").txn(1, 2, 0).txn(2, 2, 0).pull()
+	t.quiet = false
+	t.at(10010).end(1, 0, "c", Unreachable, 0, 0).end(2, 0, "b", Unreachable, 0, 0).run(10020)
+	t.end(1, 1, "a", Unreachable, 0, 0).end(2, 1, "a", Unreachable, 0, 0).run(10170)
+	t.end(1, 2, "b", Committed, 2, 10140).end(1, 2, "c", Committed, 2, 10140).pull()
+	// Output:
+	// 10000 submit 1 to c
+	//  10000 submit 2 to b
+	//  10020 submit 1 to a
+	//  10020 submit 2 to a
+	//  10030 log: connections scarce: true, 4 refused of late
+	//  10090 submit 2 to b
+	//  10090 submit 1 to b
+	//  10170 hang up on b
+}
--- a/decide/interface.go
+++ b/decide/interface.go
@@ -72,6 +72,7 @@
 	RollBack             // Txn, final; nothing is promised
 	Cancel               // submission No of Txn
 	Probe                // Server
+	HangUp               // close the idle connections to Server
 	Follow               // subscribe to the list's changes
 	Fetch                // ask for the whole list once
 	Wake                 // a call of Woken After this span
--- a/decide/site.go
+++ b/decide/site.go
@@ -34,12 +34,13 @@
 	} `json:"familyInfo"`
 	FleetSize int
 	Limits    struct {
-		Cancelling    bool
-		MaxAttempts   int
-		MaxRetryAfter Nanos `json:"maxRetryAfterMs"`
-		MayDuplicate  bool
-		Probes        bool
-		RetryAfter    bool
+		Cancelling     bool
+		ConnectTimeout Nanos `json:"connectTimeoutMs"`
+		MaxAttempts    int
+		MaxRetryAfter  Nanos `json:"maxRetryAfterMs"`
+		MayDuplicate   bool
+		Probes         bool
+		RetryAfter     bool
 	}
 	LoadReport struct {
 		Fields []string
--- a/decide/state.go
+++ b/decide/state.go
@@ -69,6 +69,8 @@
 	limit                     float64
 	elapsed, slow, late, ends decaying // over answers: latency; in service times; in SLA times; their count
 	carried                   decaying // service time sent
+	refusals                  int      // of connections, since its last answer
+	refusedAt, restTo         Nanos    // the first of them; when it may be tried again after the last
 	credit                    float64  // service time that a cold member may still be sent
 	creditAt                  Nanos
 	quietSince, grownAt       Nanos
@@ -156,7 +158,11 @@
 	startedAt  Nanos // this instance's first round
 	rng        pcg
 	members    map[Server]*member
-	serving    int       // members that are not barred
+	serving    int      // members that are not barred
+	refusals   decaying // of connections
+	crowds     decaying // members that refused and answered within a moment
+	sparing    bool
+	hangUps    []Server
 	demand     decaying  // service time of the first tries that came
 	busy       []*member // with something in flight, or a moment ago
 	lacking    []*member // passed over for want of proof and not asked since
@@ -211,6 +217,16 @@
 	return Decision{Kind: Log, Text: text}, true
 }
 
+// hangUp hands out the members whose idle connections are to be closed.
+func (g *Gateway) hangUp() (Decision, bool) {
+	if len(g.hangUps) == 0 {
+		return Decision{}, false
+	}
+	server := g.hangUps[0]
+	g.hangUps = g.hangUps[1:]
+	return Decision{Kind: HangUp, Server: server}, true
+}
+
 // tried tells whether the txn was sent to a member at or after a time.
 func (t *txn) tried(m *member, since Nanos) bool {
 	return slices.ContainsFunc(t.subs, func(s submission) bool { return s.to == m && s.at >= since })
--- a/decide/trace_test.go
+++ b/decide/trace_test.go
@@ -94,6 +94,8 @@
 			line("cancel %d/%d", d.Txn, d.No)
 		case Probe:
 			line("probe %c", d.Server[0])
+		case HangUp:
+			line("hang up on %c", d.Server[0])
 		case Follow:
 			line("follow the list")
 		case Log:
--- a/internal/benchwire/serve.go
+++ b/internal/benchwire/serve.go
@@ -275,6 +275,9 @@
 		case decide.Probe:
 			h.record(85)
 			h.out = append(h.out, d.Server[:]...)
+		case decide.HangUp:
+			h.record(86)
+			h.out = append(h.out, d.Server[:]...)
 		case decide.Log:
 			text := d.Text[:min(len(d.Text), math.MaxUint16)]
 			h.record(88)
