A probe tells a member that is down from a crowded one; what was down comes back cold

Symptom: after a restart of whole groups twelve members fell over half a second after they were back, at 3 times what they could do. Cause: what hundreds of gateways had held back met them at once, before the list told of the restart. How told from a crowd at the connections: a probe needs no connection; it is answered by a crowded member and not by one that is down. The refusing member is one at a time in either case; one that is down has a cold budget from its last refusal. Also covers: single restarts, deploys told late. Harm: where probes are lost too, a crowded member is taken for cold until it answers.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -202,9 +202,23 @@
 
 // Probed tells what a probe found: a position and a role, where reports hold them, but nothing of health.
 func (g *Gateway) Probed(server Server, r Result, _ Nanos, report []float32) {
-	if m := g.members[server]; m != nil && r == Committed {
+	m := g.members[server]
+	if m == nil {
+		return
+	}
+	up := r == Committed
+	if up {
 		g.heardReport(m, report)
 	}
+	if m.refusals > 0 && m.checkedAt > 0 {
+		if m.checkedAt = 0; up {
+			g.crowds.add(g.now, fadeClass, 1)
+		} else if !m.down {
+			m.down = true
+			g.starts(m, g.now)
+			g.log("member %v refuses connections and probes: cold when it is back", m.id)
+		}
+	}
 }
 
 // Withdrawn tells that a txn's client is gone.
@@ -354,37 +368,47 @@
 // answered notes a sign of life: any answer clears suspicion, whatever raised it.
 func (g *Gateway) answered(m *member) {
 	m.quietSince = g.now
-	if m.refusals > 0 && g.now < m.restTo+longestQuiet {
+	down := m.refusals > 0 || m.unreached || m.down
+	if m.refusals > 0 && g.now-m.refusedAt < longestQuiet {
 		// It refused and answered within less than any restart takes: a crowd at its door, not a new process.
 		g.crowds.add(g.now, fadeClass, 1)
+		down = false
 	}
-	m.refusals = 0
+	if m.suspect && g.now-m.suspectAt > longestQuiet {
+		m.limit = 2
+		g.log("member %v answers again after %d ms", m.id, (g.now-m.suspectAt)/ms)
+	} else if m.refusals == 0 {
+		down = false
+	}
+	if down && g.crowds.read(g.now, fadeClass) < 1 {
+		// It may have started anew, and the list tells that seconds late, if at all: until then
+		// it was sent all at once what pushed it over.
+		g.starts(m, g.now)
+		g.log("member %v taken for cold after refusing connections or losing them", m.id)
+	}
+	m.suspect, m.trial, m.unreached, m.down, m.refusals = false, 0, false, false, 0
 	if g.scarce() {
 		g.hangUps = append(g.hangUps, m.id)
 	}
-	if m.suspect {
-		if g.now-m.suspectAt > longestQuiet {
-			m.limit = 2
-			if m.unreached && g.crowds.read(g.now, fadeClass) < 1 {
-				// It may have started anew, and the list tells that seconds late, if at all: until then
-				// it was sent all at once what pushed it over.
-				g.starts(m, g.now)
-			}
-			g.log("member %v answers again after %d ms, cold: %v", m.id, (g.now-m.suspectAt)/ms, m.unreached)
-		}
-		m.suspect, m.trial, m.unreached = false, 0, false
-	}
 }
 
 // refused takes a connection that was turned down at once: the machine runs, but its process is down or takes no
-// more connections. Either costs one way there and back, so the member only rests for a moment; suspicion needs
-// refusals alone for longer than a crowd lasts.
+// more connections. A probe, which needs none, tells which. One that is down comes back cold, and what all gateways
+// held back meanwhile must not meet it at once: it gets a cold member's budget from now on.
 func (g *Gateway) refused(m *member) {
 	g.refusals.add(g.now, fadeClass, 1)
 	if m.refusals++; m.refusals == 1 {
 		m.refusedAt = g.now
 	}
 	m.restTo = g.now + Nanos((0.5+g.rng.unit())*float64(refusedRest))
+	if g.crowds.read(g.now, fadeClass) < 1 {
+		if m.down {
+			m.startedAt = g.now
+		}
+		if g.site.Limits.Probes && g.now-m.checkedAt > longestQuiet {
+			m.checkedAt, g.checks = g.now, append(g.checks, m.id)
+		}
+	}
 	if m.refusals >= refusedCount && g.now-m.refusedAt > longestQuiet {
 		m.unreached = true
 		g.suspects(m, "connections refused")
@@ -969,6 +993,11 @@
 
 // probe asks by probes where their reports hold a position.
 func (g *Gateway) probe() (Decision, bool) {
+	if len(g.checks) > 0 {
+		server := g.checks[0]
+		g.checks = g.checks[1:]
+		return Decision{Kind: Probe, Server: server}, true
+	}
 	shown := g.site.LoadReport.How != "none" && slices.Contains(g.site.LoadReport.Fields, "x0")
 	if g.site.Limits.Probes && shown {
 		g.lacking = slices.DeleteFunc(g.lacking, (*member).told)
@@ -1013,7 +1042,7 @@
 
 // room tells whether a member may take one more: its limit, a suspect's trials, a cold member's budget.
 func (g *Gateway) room(m *member, t *txn) bool {
-	if m.barred || g.now < m.restTo {
+	if m.barred || g.now < m.restTo || m.refusals > 0 && m.out > 0 {
 		return false
 	}
 	if m.suspect && (m.unreached || !g.allSuspect(t.group)) {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -446,6 +446,30 @@
 	//  10020 submit 2 to a
 	//  10030 log: connections scarce: true, 4 refused of late
 	//  10090 submit 2 to b
-	//  10090 submit 1 to b
-	//  10170 hang up on b
+	//  10110 submit 1 to c
+	//  10170 hang up on c
+}
+
+// A member that refuses connections and does not answer a probe is down: back, it gets a cold member's budget, and
+// not all that waited. One that answers the probe is crowded.
+func Example_refusedAndDown() {
+	t := open(`"cancelling"`, `"connectTimeoutMs":250,"cancelling"`, `"probes":false`, `"probes":true`)
+	t.list("a* b").txn(1, 3, 0).pull()
+	t.quiet = false
+	t.at(10010).end(1, 0, "a", Unreachable, 0, 0).pull().g.Probed(Server{'a'}, Unreachable, Millis(2), nil)
+	t.txn(2, 3, 0).txn(3, 3, 0).run(10200)
+	crowd := open(`"cancelling"`, `"connectTimeoutMs":250,"cancelling"`, `"probes":false`, `"probes":true`)
+	crowd.list("a* b").txn(1, 3, 0).pull()
+	crowd.at(10010).end(1, 0, "a", Unreachable, 0, 0).pull().g.Probed(Server{'a'}, Committed, Millis(2), nil)
+	crowd.txn(2, 3, 0).txn(3, 3, 0).run(10200).end(1, 1, "a", Committed, 1, 10190).pull()
+	// Output:
+	// 10000 submit 1 to a
+	//  10010 probe a
+	//  10020 log: member [97 0 0 0 0 0] refuses connections and probes: cold when it is back
+	//  10100 submit 1 to a
+	//  10000 submit 1 to a
+	//  10010 probe a
+	//  10100 submit 1 to a
+	//  10200 submit 3 to a
+	//  10200 submit 2 to a
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -70,6 +70,8 @@
 	elapsed, slow, late, ends decaying // over answers: latency; in service times; in SLA times; their count
 	carried                   decaying // service time sent
 	refusals                  int      // of connections, since its last answer
+	checkedAt                 Nanos    // when a probe went out to tell why; 0 once it is back
+	down                      bool     // and told that its process is down
 	refusedAt, restTo         Nanos    // the first of them; when it may be tried again after the last
 	credit                    float64  // service time that a cold member may still be sent
 	creditAt                  Nanos
@@ -163,6 +165,7 @@
 	crowds     decaying // members that refused and answered within a moment
 	sparing    bool
 	hangUps    []Server
+	checks     []Server  // members that refused, to be probed
 	demand     decaying  // service time of the first tries that came
 	busy       []*member // with something in flight, or a moment ago
 	lacking    []*member // passed over for want of proof and not asked since
