The way to a zone is told from its members by the quickest answers; a waiting txn is woken for soon

Cause: with the way between buildings 140 to 300 ms slower each way, members beyond it looked crowded and got reads that no answer could serve in time. How told: a crowd leaves the quickest answers of a zone as they are, a slow way lifts all of them. What is longer than within this zone is taken off a latency before it counts for limits, and added to the cost of a member. Also covers: a far zone that is always slower. Harm: with very few answers from a zone the quickest one is a poor guide for some seconds.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -435,7 +435,8 @@
 
 // measured takes a committed submission's latency and moves the member's limit: one up, or down by a share.
 func (g *Gateway) measured(m *member, t *txn, elapsed Nanos) {
-	x := float64(elapsed)
+	g.wayOf(m.zone).add(g.now, elapsed)
+	x := float64(max(0, elapsed-g.detourTo(m.zone)))
 	m.slow.add(g.now, fadeLatency, x/g.expected(t.class))
 	late := x / float64(g.patience(t.class))
 	m.late.add(g.now, fadeLatency, late)
@@ -444,7 +445,7 @@
 		g.primaries.ends.add(g.now, fadeClass, 1)
 	}
 	g.learnBase(late)
-	m.elapsed.add(g.now, fadeLatency, x)
+	m.elapsed.add(g.now, fadeLatency, float64(elapsed))
 	m.ends.add(g.now, fadeLatency, 1)
 	g.service[t.class].sum.add(g.now, fadeClass, x)
 	g.service[t.class].n.add(g.now, fadeClass, 1)
@@ -464,6 +465,22 @@
 	}
 }
 
+// detourTo is how much longer the way to a zone takes than the way within this one: the difference between the
+// quickest answers of late, which crowded members hardly change. It is the way's fault and no member's: it
+// cuts no limit, and reads that it would make worthless stay near.
+func (g *Gateway) detourTo(zone int) Nanos {
+	here, there := g.wayOf(g.site.Zone).least(g.now), g.wayOf(zone).least(g.now)
+	if here == 0 || there <= here {
+		return 0
+	}
+	return there - here
+}
+
+// inTime tells whether an answer of a member can still earn something, as far as the way to it goes.
+func (g *Gateway) inTime(t *txn, m *member) bool {
+	return g.site.Classes[t.class].LateValue > 0 || g.now+g.detourTo(m.zone) < t.aim
+}
+
 // learnBase follows the latency, in SLA times, that this gateway's txns have when nothing is crowded:
 // the lowest mean seen, which creeps up by a small part of the difference with each answer so that one
 // lucky moment does not last.
@@ -510,7 +527,7 @@
 }
 
 func (g *Gateway) meanLatency(m *member) float64 {
-	guess := g.expected(0)
+	guess := g.expected(0) + float64(g.detourTo(m.zone))
 	return (m.elapsed.read(g.now, fadeLatency) + guess) / (m.ends.read(g.now, fadeLatency) + 1)
 }
 
@@ -560,14 +577,17 @@
 }
 
 func (g *Gateway) wake() (Decision, bool) {
-	if g.wakeAt > g.now || (len(g.open) == 0 && (g.follows || g.site.MembershipMode != "ask")) {
-		return Decision{}, false
+	span := idlePulse // nothing waits: only silence is to be seen
+	if g.queued > 0 {
+		span = pulse
 	}
-	g.wakeAt = g.now + max(pulse, g.site.Tick)
-	if g.queued == 0 {
-		g.wakeAt = g.now + max(idlePulse, g.site.Tick) // nothing waits: only silence is to be seen
+	next := g.now + max(span, g.site.Tick)
+	// A call that is due later than that does not do for a txn that came since, with little time of its own.
+	if g.wakeAt > g.now && g.wakeAt <= next || len(g.open) == 0 && (g.follows || g.site.MembershipMode != "ask") {
+		return Decision{}, false
 	}
-	return Decision{Kind: Wake, After: g.wakeAt - g.now}, true
+	g.wakeAt = next
+	return Decision{Kind: Wake, After: next - g.now}, true
 }
 
 // review looks at members for silence, then at each open txn for what its time still allows.
@@ -891,7 +911,7 @@
 // before anyone's writes have to.
 func (g *Gateway) spare(t *txn, p *member) *member {
 	sure := p != nil && (p.role == rolePrimary || p.named || g.site.Family.WhenBehind != "none")
-	if !sure || p.suspect || !g.room(p, t) {
+	if !sure || p.suspect || !g.room(p, t) || !g.inTime(t, p) || t.out > 0 && t.tried(p, 0) {
 		return nil
 	}
 	for row, w := range t.group.waiting {
@@ -1026,12 +1046,12 @@
 	var best *member
 	var low float64
 	for _, m := range t.group.members {
-		if m.barred || !will(m) || !g.room(m, t) || (t.out > 0 && t.tried(m, 0)) {
+		if m.barred || !will(m) || !g.room(m, t) || (t.out > 0 && t.tried(m, 0)) || !g.inTime(t, m) {
 			continue
 		}
 		cost := float64(m.out+1) * g.slowness(m) * (1 + 0.01*g.rng.unit())
 		if m.zone != g.site.Zone {
-			cost *= farPenalty
+			cost *= farPenalty + float64(g.detourTo(m.zone))/g.expected(t.class)
 		}
 		if best == nil || cost < low {
 			best, low = m, cost
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -473,3 +473,40 @@
 	//  10200 submit 3 to a
 	//  10200 submit 2 to a
 }
+
+// A txn that waits gets a round soon, though a later one is due already: it was lost when its time was short.
+func Example_soonerWake() {
+	t := open().list("a").txn(1, 2, 0)
+	t.wakes = true
+	t.pull().at(10002).txn(2, 0, 5).list("a-").pull()
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 wake in 20 ms
+	//  10002 wake in 5 ms
+}
+
+// A slow way to another zone is no fault of the members there: reads stay near, the limit there is not cut.
+func Example_slowWay() {
+	t := open(`"whenBehind":"await"`, `"whenBehind":"none"`)
+	for i, m := range "abc" {
+		t.g.Listed(Server{byte(m)}, 0, false, Ready, i/2, 1, 0, 0)
+	}
+	t.g.ListEnds(FullList)
+	for id := uint64(1); id <= 3; id++ {
+		t.txn(id, 2, 0)
+	}
+	t.pull().end(1, 0, "a", Committed, 2, 9990).end(2, 0, "b", Committed, 2, 9990)
+	t.at(10260).g.Ended(3, 0, Server{'c'}, Committed, Millis(260), 9990*4+2, true, nil)
+	for id := uint64(4); id <= 7; id++ {
+		t.txn(id, 2, 0)
+	}
+	t.pull()
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 submit 2 to b
+	//  10000 submit 3 to c
+	//  10260 submit 4 to a
+	//  10260 submit 5 to b
+	//  10260 submit 6 to a
+	//  10260 submit 7 to b
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -160,6 +160,7 @@
 	startedAt  Nanos // this instance's first round
 	rng        pcg
 	members    map[Server]*member
+	ways       []way    // by zone
 	serving    int      // members that are not barred
 	refusals   decaying // of connections
 	crowds     decaying // members that refused and answered within a moment
@@ -230,6 +231,39 @@
 	return Decision{Kind: HangUp, Server: server}, true
 }
 
+// way keeps the quickest answer from a zone, of this span and of the one before.
+type way struct{ quickest, before, turnedAt Nanos }
+
+const waySpan = 2000 * Millisecond
+
+func (w *way) add(now, elapsed Nanos) {
+	w.least(now)
+	if w.quickest == 0 || elapsed < w.quickest {
+		w.quickest = elapsed
+	}
+}
+
+// least is the quickest answer of late, 0 if there was none.
+func (w *way) least(now Nanos) Nanos {
+	if now-w.turnedAt >= waySpan {
+		if w.before = w.quickest; now-w.turnedAt >= 2*waySpan {
+			w.before = 0
+		}
+		w.quickest, w.turnedAt = 0, now
+	}
+	if w.quickest == 0 || w.before > 0 && w.before < w.quickest {
+		return w.before
+	}
+	return w.quickest
+}
+
+func (g *Gateway) wayOf(zone int) *way {
+	for zone >= len(g.ways) {
+		g.ways = append(g.ways, way{})
+	}
+	return &g.ways[zone]
+}
+
 // tried tells whether the txn was sent to a member at or after a time.
 func (t *txn) tried(m *member, since Nanos) bool {
 	return slices.ContainsFunc(t.subs, func(s submission) bool { return s.to == m && s.at >= since })
--- a/decide/trace_test.go
+++ b/decide/trace_test.go
@@ -10,6 +10,7 @@
 	g     *Gateway
 	clock float64
 	quiet bool // no log lines
+	wakes bool // wake decisions too
 }
 
 const traceSite = `{"classes":[
@@ -94,6 +95,10 @@
 			line("cancel %d/%d", d.Txn, d.No)
 		case Probe:
 			line("probe %c", d.Server[0])
+		case Wake:
+			if t.wakes {
+				line("wake in %d ms", d.After/Millisecond)
+			}
 		case HangUp:
 			line("hang up on %c", d.Server[0])
 		case Follow:
