--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1028,17 +1028,28 @@
 	return Decision{}, false
 }
 
-// detour sends a write by an unheard replica, whose miss runs nothing and tells its position, where no
-// report does.
+// detour sends a write by the replica that was silent for longest, whose miss runs nothing and tells its position,
+// where no report does: a gateway with a txn for a group once in many seconds has no proof for its reads else.
 func (g *Gateway) detour(t *txn) *member {
 	if g.site.Family.WhenBehind != "none" || !g.site.Family.AnswersStamped || len(t.subs) > 0 ||
 		g.site.LoadReport.How != "none" || g.site.Limits.MaxAttempts < 4 {
 		return nil
 	}
-	if m := g.unheard(t.group.members, askWrite); m != nil && !m.suspect {
-		return m
+	var best *member
+	for _, m := range t.group.members {
+		last := max(m.heardAt, m.askedAt)
+		if m.role == rolePrimary || m.named || m.suspect || g.now-last < max(askWrite, m.lag/askPart) ||
+			g.now < m.restTo || m.barred || !g.warmEnough(m) || m.zone != g.site.Zone && g.detourTo(m.zone) > pulse {
+			continue
+		}
+		if best == nil || m.zone == g.site.Zone && best.zone != m.zone || m.zone == best.zone && last < max(best.heardAt, best.askedAt) {
+			best = m
+		}
 	}
-	return nil
+	if best != nil {
+		best.askedAt = g.now
+	}
+	return best
 }
 
 // pick is the least loaded member with room among those that will do.
