Reads hold back from primaries before any was heard of

Cause: in the first seconds no gateway has proof or a mean, and hundreds sent their reads to the primaries, which turned away as full. A primary nobody has heard of now counts as near the latency that cuts limits. Harm: a gateway that has only a primary declines some of its first reads.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -46,6 +46,7 @@
 	baseMost     = 0.35      // and at most: a gateway that starts in a jam must not take that for its base
 	baseCount    = 50        // answers lately that a mean needs to count
 	baseCreep    = 1e-4      // part of the difference by which the base rises with each answer
+	unseenLate   = 0.85      // of the latency that cuts limits, taken for a primary nobody has heard of: reads hold back
 	leanCount    = 2.0       // answers of a member itself that weigh as much as all of its peers together
 	luckPart     = 2.0       // reads keep off primaries by chance from half of the latency that cuts limits
 	hopeless     = 1.2       // mean service times that must be left for a txn to be worth sending
@@ -934,7 +935,7 @@
 // primaryLate is a primary's mean latency in SLA times, leaning on that of all primaries as far as it was seen
 // little of late.
 func (g *Gateway) primaryLate(p *member) float64 {
-	all := (g.primaries.late.read(g.now, fadeClass) + g.base) / (g.primaries.ends.read(g.now, fadeClass) + 1)
+	all := (g.primaries.late.read(g.now, fadeClass) + unseenLate*g.lateLimit(p)) / (g.primaries.ends.read(g.now, fadeClass) + 1)
 	return (p.late.read(g.now, fadeLatency) + leanCount*all) / (p.ends.read(g.now, fadeLatency) + leanCount)
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -24,9 +24,9 @@
 	t.at(10400).txn(3, 0, 50).pull().at(10450).txn(4, 2, 0).pull().end(4, 0, "b", Committed, 2, 10440).pull()
 	t.at(10500).txn(5, 0, 40).run(10650)
 	// Output:
-	// 10150 submit 1 to a
-	//  10150 submit 2 to b
+	// 10150 submit 2 to b
 	//  10150 submit 2 to a
+	//  10150 submit 1 to a
 	//  10450 submit 4 to c
 	//  10550 submit 3 to a
 	//  10650 submit 5 to a
@@ -412,9 +412,9 @@
 	t.txn(20, 3, 0).pull().txn(21, 3, 0).run(10990)
 	// Output:
 	// 10000 submit 1 to a
-	//  10150 submit 2 to a
-	//  10300 submit 3 to a
+	//  10450 decline 2
 	//  10450 submit 4 to a
+	//  10600 decline 3
 	//  10600 submit 5 to a
 	//  10750 submit 6 to a
 	//  10900 submit 7 to a
