--- a/decide/decide.go
+++ b/decide/decide.go
@@ -11,7 +11,6 @@
 	"cmp"
 	"fmt"
 	"maps"
-	"math"
 	"slices"
 )
 
@@ -79,14 +78,6 @@
 	return g, nil
 }
 
-// Clock begins a round.
-func (g *Gateway) Clock(now Nanos) {
-	if g.startedAt == 0 {
-		g.startedAt = now
-	}
-	g.now, g.stage, g.cursor = now, 0, 0
-}
-
 // Arrived takes a txn. age is that of its session's last write, 0 for none or not told.
 func (g *Gateway) Arrived(id uint64, class, _ int, session uint64, budget, work Nanos, grp int,
 	age Nanos) error {
@@ -146,9 +137,6 @@
 				g.service[t.class].intime.add(g.now, fadeClass, 1)
 			}
 			g.proven(t, s, m, note)
-			if g.site.Family.Consistency[t.class] == "mutate" {
-				m.wroteAt = g.now
-			}
 			delete(g.unserved, unserved{t.session, t.class})
 		}
 		t.done = true
@@ -214,25 +202,14 @@
 	if m.refusals > 0 && m.checkedAt > 0 {
 		if m.checkedAt = 0; up {
 			g.crowds.add(g.now, fadeClass, 1)
-		} else if !m.down {
-			m.down = true
+		} else if !m.unreached {
+			m.unreached = true
 			g.starts(m, g.now)
 			g.log("member %v refuses connections and probes: cold when it is back", m.id)
 		}
 	}
 }
 
-// Withdrawn tells that a txn's client is gone.
-func (g *Gateway) Withdrawn(id uint64) {
-	if t := g.txns[id]; t != nil {
-		t.done = true
-		g.unserved[unserved{t.session, t.class}] = t.first
-		g.service[t.class].left.add(g.now, fadeClass, 1)
-		g.service[t.class].stay.add(g.now, fadeClass, float64(g.now-t.arrived))
-		g.forget(t)
-	}
-}
-
 // Listed tells one entry of the list; ListEnds follows the last.
 func (g *Gateway) Listed(server Server, grp int, named bool, st Status, zone int, _ float64, kind int,
 	start Nanos) {
@@ -369,7 +346,7 @@
 // answered notes a sign of life: any answer clears suspicion, whatever raised it.
 func (g *Gateway) answered(m *member) {
 	m.quietSince = g.now
-	down := m.refusals > 0 || m.unreached || m.down
+	down := m.refusals > 0 || m.unreached
 	if m.refusals > 0 && g.now-m.refusedAt < longestQuiet {
 		// It refused and answered within less than any restart takes: a crowd at its door, not a new process.
 		g.crowds.add(g.now, fadeClass, 1)
@@ -387,7 +364,7 @@
 		g.starts(m, g.now)
 		g.log("member %v taken for cold after refusing connections or losing them", m.id)
 	}
-	m.suspect, m.trial, m.unreached, m.down, m.refusals = false, 0, false, false, 0
+	m.suspect, m.trial, m.unreached, m.refusals = false, 0, false, 0
 	if g.scarce() {
 		g.hangUps = append(g.hangUps, m.id)
 	}
@@ -403,7 +380,7 @@
 	}
 	m.restTo = g.now + Nanos((0.5+g.rng.unit())*float64(refusedRest))
 	if g.crowds.read(g.now, fadeClass) < 1 {
-		if m.down {
+		if m.unreached {
 			m.startedAt = g.now
 		}
 		if g.site.Limits.Probes && g.now-m.checkedAt > longestQuiet {
@@ -438,23 +415,20 @@
 func (g *Gateway) measured(m *member, t *txn, elapsed Nanos) {
 	g.wayOf(m.zone).add(g.now, elapsed)
 	x := float64(max(0, elapsed-g.detourTo(m.zone)))
-	m.slow.add(g.now, fadeLatency, x/g.expected(t.class))
 	late := x / float64(g.patience(t.class))
+	m.elapsed.add(g.now, fadeLatency, float64(elapsed))
+	m.slow.add(g.now, fadeLatency, x/g.expected(t.class))
 	m.late.add(g.now, fadeLatency, late)
 	if m.role == rolePrimary {
-		g.primaries.late.add(g.now, fadeClass, late)
-		g.primaries.ends.add(g.now, fadeClass, 1)
+		g.primaries.add(g.now, fadeClass, late)
 	}
 	g.learnBase(late)
-	m.elapsed.add(g.now, fadeLatency, float64(elapsed))
-	m.ends.add(g.now, fadeLatency, 1)
-	g.service[t.class].sum.add(g.now, fadeClass, x)
-	g.service[t.class].n.add(g.now, fadeClass, 1)
+	g.service[t.class].took.add(g.now, fadeClass, x)
 	if g.now-m.grownAt < Nanos(g.meanLatency(m)) {
 		return
 	}
 	switch {
-	case m.late.read(g.now, fadeLatency) > g.lateLimit(m)*m.ends.read(g.now, fadeLatency):
+	case m.late.lean(g.now, fadeLatency, 0, 0) > g.lateLimit(m):
 		// Writes have no other member to go to: a primary that is slow, not crowded, must not idle for it.
 		least := 1.0
 		if m.role == rolePrimary {
@@ -487,9 +461,8 @@
 // lucky moment does not last.
 func (g *Gateway) learnBase(late float64) {
 	g.late.add(g.now, fadeClass, late)
-	g.ends.add(g.now, fadeClass, 1)
-	if n := g.ends.read(g.now, fadeClass); n > baseCount {
-		mean := min(baseMost, g.late.read(g.now, fadeClass)/n)
+	if g.late.n.sum > baseCount {
+		mean := min(baseMost, g.late.lean(g.now, fadeClass, 0, 0))
 		g.base = min(mean, g.base+(mean-g.base)*baseCreep)
 	}
 }
@@ -517,19 +490,17 @@
 
 // expected is a txn type's service time of late, a quarter of its SLA time before any is known.
 func (g *Gateway) expected(class int) float64 {
-	s, guess := &g.service[class], float64(g.site.Classes[class].Aim)/4
-	return (s.sum.read(g.now, fadeClass) + guess) / (s.n.read(g.now, fadeClass) + 1)
+	return g.service[class].took.lean(g.now, fadeClass, float64(g.site.Classes[class].Aim)/4, 1)
 }
 
 // slowness compares a member's latency with what its txns took anywhere; silence with work out counts
 // as it grows.
 func (g *Gateway) slowness(m *member) float64 {
-	return (m.slow.read(g.now, fadeLatency) + 2) / (m.ends.read(g.now, fadeLatency) + 2)
+	return m.slow.lean(g.now, fadeLatency, 1, 2)
 }
 
 func (g *Gateway) meanLatency(m *member) float64 {
-	guess := g.expected(0) + float64(g.detourTo(m.zone))
-	return (m.elapsed.read(g.now, fadeLatency) + guess) / (m.ends.read(g.now, fadeLatency) + 1)
+	return m.elapsed.lean(g.now, fadeLatency, g.expected(0)+float64(g.detourTo(m.zone)), 1)
 }
 
 // queue puts a txn into its row. Reads that any replica can serve have rows of their own, so that they
@@ -558,16 +529,6 @@
 	(*Gateway).ask, (*Gateway).review, (*Gateway).hangUp, (*Gateway).dispatch, (*Gateway).probe, (*Gateway).line, (*Gateway).wake,
 }
 
-// Next gives one decision of this round, or says that there is none left.
-func (g *Gateway) Next() (Decision, bool) {
-	for ; g.stage < len(steps); g.stage, g.cursor = g.stage+1, 0 {
-		if d, ok := steps[g.stage](g); ok {
-			return d, true
-		}
-	}
-	return Decision{}, false
-}
-
 // ask follows the list; a call that got no word at all is made again too.
 func (g *Gateway) ask() (Decision, bool) {
 	if g.site.MembershipMode != "ask" || g.follows || g.now < g.askAt {
@@ -620,14 +581,6 @@
 	return Decision{}, false
 }
 
-// notePrimary logs a change of primary.
-func (g *Gateway) notePrimary(grp *group) {
-	if p := g.primaryOf(grp); p != grp.primary {
-		grp.primary = p
-		g.log("group %d: %s", grp.id, p.asPrimary())
-	}
-}
-
 // tidy prunes tokens and logs changes of mode that no single input brings.
 func (g *Gateway) tidy() {
 	given := g.given.read(g.now, fadeLatency)
@@ -674,10 +627,6 @@
 	if t.out == 1 && !t.waiting {
 		i := slices.IndexFunc(t.subs, func(s submission) bool { return !s.over })
 		s := &t.subs[i]
-		write := g.site.Family.Consistency[t.class] == "mutate"
-		if write && float64(g.now-s.at) > silentMeans*g.meanLatency(s.to) && s.to.stuckAt <= s.to.wroteAt {
-			s.to.stuckAt, s.to.trialAt = s.at, g.now+trialFirst
-		}
 		if !s.cancelled && g.rescues(t, s) {
 			if g.site.Limits.MayDuplicate {
 				g.queue(t)
@@ -935,8 +884,8 @@
 // primaryLate is a primary's mean latency in SLA times, leaning on that of all primaries as far as it was seen
 // little of late.
 func (g *Gateway) primaryLate(p *member) float64 {
-	all := (g.primaries.late.read(g.now, fadeClass) + unseenLate*g.lateLimit(p)) / (g.primaries.ends.read(g.now, fadeClass) + 1)
-	return (p.late.read(g.now, fadeLatency) + leanCount*all) / (p.ends.read(g.now, fadeLatency) + leanCount)
+	all := g.primaries.lean(g.now, fadeClass, unseenLate*g.lateLimit(p), 1)
+	return p.late.lean(g.now, fadeLatency, all, leanCount)
 }
 
 // placeOnPrimary is step 1; without a primary that answers, one write at a time tries the members in turn.
@@ -946,12 +895,6 @@
 			return r
 		}
 		sure := write || p.role == rolePrimary || g.site.Family.WhenBehind != "none"
-		if write && p.stuckAt > p.wroteAt {
-			// It answers reads but has held a write for long and taken none since: no more than a trickle.
-			if sure = g.now >= p.trialAt; sure {
-				p.trialAt = g.now + trialLast
-			}
-		}
 		if sure && g.room(p, t) && !t.tried(p, g.now-pulse) {
 			return p
 		}
@@ -1104,26 +1047,20 @@
 		return true
 	}
 	share := r.ColdFrom + (1-r.ColdFrom)*max(0, float64(age)/float64(r.Cold))
-	rate := perSpan(&g.demand, g.now, g.startedAt) / float64(max(1, g.serving)) * share * coldPart * r.FallMultiple
-	if m.late.read(g.now, fadeLatency) < g.lateLimit(m)/2*m.ends.read(g.now, fadeLatency) {
+	rate := g.demand.perSpan(g.now, g.startedAt, fadeClass) / float64(max(1, g.serving)) * share * coldPart * r.FallMultiple
+	if m.late.lean(g.now, fadeLatency, 0, 0) < g.lateLimit(m)/2 {
 		// It answers as quickly as if uncrowded, so what it gets now it can do: that may grow by a part of
 		// what the rule's multiple leaves, however little the mean demand is.
-		rate = max(rate, perSpan(&m.carried, g.now, max(g.startedAt, m.startedAt))*(1+r.FallMultiple)/2)
+		rate = max(rate, m.carried.perSpan(g.now, max(g.startedAt, m.startedAt), fadeClass)*(1+r.FallMultiple)/2)
 	}
 	m.credit = min(m.credit+rate*float64(g.now-m.creditAt), rate*float64(r.OverloadFor)/2)
 	m.creditAt = g.now
 	return m.credit >= 0
 }
 
-// perSpan is the rate of a sum that fades with fadeClass and began at a time.
-func perSpan(d *decaying, now, began Nanos) float64 {
-	seen := -math.Expm1(-float64(max(now-began, pulse)) / float64(fadeClass))
-	return d.read(now, fadeClass) / float64(fadeClass) / seen
-}
-
 // starts takes a member for cold: what was measured of its last run tells nothing of this one.
 func (g *Gateway) starts(m *member, at Nanos) {
 	m.startedAt, m.limit = at, 1
 	m.credit, m.creditAt = -g.rng.unit()*g.expected(0), g.now
-	m.elapsed, m.slow, m.late, m.ends, m.carried = decaying{}, decaying{}, decaying{}, decaying{}, decaying{}
+	m.elapsed, m.slow, m.late, m.carried = mean{}, mean{}, mean{}, decaying{}
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -403,7 +403,7 @@
 	//  10120 submit 3 to c
 }
 
-// A primary that serves reads but holds writes gets no more than a trickle of them.
+// A primary that serves reads but holds writes keeps its reads; its writes end in time, as nothing else takes them.
 func Example_readsButNoWrites() {
 	t := open().list("a*").txn(1, 3, 0).pull()
 	for id := uint64(2); id < 8; id++ {
@@ -419,6 +419,7 @@
 	//  10750 submit 6 to a
 	//  10900 submit 7 to a
 	//  10900 submit 20 to a
+	//  10910 submit 21 to a
 	//  10990 roll back 1
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -43,6 +43,19 @@
 
 func (d *decaying) add(now, fade Nanos, x float64) { d.sum = d.read(now, fade) + x }
 
+// mean is a mean over time.
+type mean struct{ sum, n decaying }
+
+func (a *mean) add(now, fade Nanos, x float64) {
+	a.sum.add(now, fade, x)
+	a.n.add(now, fade, 1)
+}
+
+// lean is the mean, leaning on a guess that weighs as much as some values.
+func (a *mean) lean(now, fade Nanos, guess, weight float64) float64 {
+	return (a.sum.read(now, fade) + guess*weight) / (a.n.read(now, fade) + weight)
+}
+
 const (
 	roleUnknown = iota
 	rolePrimary
@@ -67,18 +80,16 @@
 	lacking                   bool  // in the gateway's list of those that were passed over
 	sentSum                   Nanos // sum of the times at which they were sent
 	limit                     float64
-	elapsed, slow, late, ends decaying // over answers: latency; in service times; in SLA times; their count
+	elapsed, slow, late       mean     // latency of answers: as it is; in service times; in SLA times
 	carried                   decaying // service time sent
 	refusals                  int      // of connections, since its last answer
 	checkedAt                 Nanos    // when a probe went out to tell why; 0 once it is back
-	down                      bool     // and told that its process is down
 	refusedAt, restTo         Nanos    // the first of them; when it may be tried again after the last
 	credit                    float64  // service time that a cold member may still be sent
 	creditAt                  Nanos
 	quietSince, grownAt       Nanos
 	suspect, unreached        bool // unreached: no connection, or a broken one, since its last answer
 	suspectAt, trialAt, trial Nanos
-	stuckAt, wroteAt          Nanos // sending of a write that hangs there; when it committed one last
 }
 
 // group is one primary, its replicas and the txns that wait for them.
@@ -122,8 +133,8 @@
 // service is what is measured of a txn type: latency and count of what was committed, how many came, and how
 // many left early after what stay.
 type service struct {
-	sum, n, came, left, stay decaying
-	intime                   decaying
+	took                     mean
+	came, left, stay, intime decaying
 	usual                    mode
 }
 
@@ -155,46 +166,46 @@
 
 // Gateway is one instance of the module.
 type Gateway struct {
-	site       *site
-	now        Nanos
-	startedAt  Nanos // this instance's first round
-	rng        pcg
-	members    map[Server]*member
-	ways       []way    // by zone
-	serving    int      // members that are not barred
-	refusals   decaying // of connections
-	crowds     decaying // members that refused and answered within a moment
-	sparing    bool
-	hangUps    []Server
-	checks     []Server  // members that refused, to be probed
-	demand     decaying  // service time of the first tries that came
-	busy       []*member // with something in flight, or a moment ago
-	lacking    []*member // passed over for want of proof and not asked since
-	groups     []*group
-	txns       map[uint64]*txn
-	open       []*txn
-	service    []service                     // by txn type
-	ranking    []int                         // rows of waiting txns, most value for service time first
-	base       float64                       // latency in SLA times when nothing is crowded
-	late, ends decaying                      // of all answers, as for a member
-	primaries  struct{ late, ends decaying } // of answers of primaries
-	listed     map[Server]bool
-	unserved   map[unserved]Nanos // when the session's first try of its last txn came, if that was not served
-	lines      []string
-	stage      int
-	cursor     int
-	reviewAt   Nanos
-	wakeAt     Nanos
-	follows    bool
-	askAt      Nanos
-	askSpan    Nanos
-	sweptAt    Nanos
-	rankAt     Nanos
-	queued     int
-	shedding   bool
-	poorest    int      // the class served worst of late
-	asked      float64  // worth that came of late
-	given      decaying // txns given up unserved
+	site      *site
+	now       Nanos
+	startedAt Nanos // this instance's first round
+	rng       pcg
+	members   map[Server]*member
+	ways      []way    // by zone
+	serving   int      // members that are not barred
+	refusals  decaying // of connections
+	crowds    decaying // members that refused and answered within a moment
+	sparing   bool
+	hangUps   []Server
+	checks    []Server  // members that refused, to be probed
+	demand    decaying  // service time of the first tries that came
+	busy      []*member // with something in flight, or a moment ago
+	lacking   []*member // passed over for want of proof and not asked since
+	groups    []*group
+	txns      map[uint64]*txn
+	open      []*txn
+	service   []service // by txn type
+	ranking   []int     // rows of waiting txns, most value for service time first
+	base      float64   // latency in SLA times when nothing is crowded
+	late      mean      // of all answers, as for a member
+	primaries mean      // late, of answers of primaries
+	listed    map[Server]bool
+	unserved  map[unserved]Nanos // when the session's first try of its last txn came, if that was not served
+	lines     []string
+	stage     int
+	cursor    int
+	reviewAt  Nanos
+	wakeAt    Nanos
+	follows   bool
+	askAt     Nanos
+	askSpan   Nanos
+	sweptAt   Nanos
+	rankAt    Nanos
+	queued    int
+	shedding  bool
+	poorest   int      // the class served worst of late
+	asked     float64  // worth that came of late
+	given     decaying // txns given up unserved
 }
 
 func (g *Gateway) groupOf(id int) *group {
@@ -364,3 +375,46 @@
 	m.lacking = m.heardAt < m.lackAt && m.askedAt < m.lackAt
 	return !m.lacking
 }
+
+// Clock begins a round.
+func (g *Gateway) Clock(now Nanos) {
+	if g.startedAt == 0 {
+		g.startedAt = now
+	}
+	g.now, g.stage, g.cursor = now, 0, 0
+}
+
+// Withdrawn tells that a txn's client is gone.
+func (g *Gateway) Withdrawn(id uint64) {
+	if t := g.txns[id]; t != nil {
+		t.done = true
+		g.unserved[unserved{t.session, t.class}] = t.first
+		g.service[t.class].left.add(g.now, fadeClass, 1)
+		g.service[t.class].stay.add(g.now, fadeClass, float64(g.now-t.arrived))
+		g.forget(t)
+	}
+}
+
+// Next gives one decision of this round, or says that there is none left.
+func (g *Gateway) Next() (Decision, bool) {
+	for ; g.stage < len(steps); g.stage, g.cursor = g.stage+1, 0 {
+		if d, ok := steps[g.stage](g); ok {
+			return d, true
+		}
+	}
+	return Decision{}, false
+}
+
+// notePrimary logs a change of primary.
+func (g *Gateway) notePrimary(grp *group) {
+	if p := g.primaryOf(grp); p != grp.primary {
+		grp.primary = p
+		g.log("group %d: %s", grp.id, p.asPrimary())
+	}
+}
+
+// perSpan is the rate of a sum that began at a time.
+func (d *decaying) perSpan(now, began, fade Nanos) float64 {
+	seen := -math.Expm1(-float64(max(now-began, Millisecond)) / float64(fade))
+	return d.read(now, fade) / float64(fade) / seen
+}
