--- a/decide/decide.go
+++ b/decide/decide.go
@@ -39,8 +39,8 @@
 	limitStart   = 8.0       // first limit on what is in flight to a member: a few cores' worth
 	leastWrites  = 3.0       // least limit of a primary, which may be slow without being crowded
 	limitCut     = 0.8       // share left of a limit when answers come too late
-	latePart     = 0.25      // way from the uncrowded latency to the SLA time at which a mean cuts the limit
 	lagPart      = 0.1       // the same for a replica that is further behind than a tokened read waits
+	latePart     = 0.25      // way from the uncrowded latency to the SLA time at which a mean cuts the limit
 	baseFirst    = 0.3       // uncrowded latency in SLA times, before it is known
 	baseMost     = 0.35      // and at most: a gateway that starts in a jam must not take that for its base
 	baseCount    = 50        // answers lately that a mean needs to count
@@ -467,8 +467,7 @@
 	}
 }
 
-// lateLimit is the mean latency, in SLA times, that cuts a member's limit: part of the way from
-// uncrowded to too late.
+// lateLimit is the mean latency, in SLA times, that cuts a member's limit: part of the way from uncrowded to too late.
 func (g *Gateway) lateLimit(m *member) float64 {
 	part := latePart
 	if m.role == roleReplica && g.behind(m) > waitSpan {
@@ -493,11 +492,8 @@
 	return g.service[class].took.lean(g.now, fadeClass, float64(g.site.Classes[class].Aim)/4, 1)
 }
 
-// slowness compares a member's latency with what its txns took anywhere; silence with work out counts
-// as it grows.
-func (g *Gateway) slowness(m *member) float64 {
-	return m.slow.lean(g.now, fadeLatency, 1, 2)
-}
+// slowness compares a member's latency with what its txns took anywhere.
+func (g *Gateway) slowness(m *member) float64 { return m.slow.lean(g.now, fadeLatency, 1, 2) }
 
 func (g *Gateway) meanLatency(m *member) float64 {
 	return m.elapsed.lean(g.now, fadeLatency, g.expected(0)+float64(g.detourTo(m.zone)), 1)
@@ -935,17 +931,19 @@
 // which nobody tells the end of is tried again. No read that a server does not check relies on it.
 func (g *Gateway) behind(m *member) Nanos { return max(0, m.lag-(g.now-m.lagAt)) }
 
-// unheard is a replica that reads passed over for want of proof and that should be asked for its position:
-// else one that gets no reads for that reason would never be known to have caught up.
-func (g *Gateway) unheard(members []*member, span Nanos) *member {
+// silent is a replica that was not heard of for a span, to be asked for its position: proof comes from the very
+// reads that need it, and a gateway with a txn for a group once in many seconds has none else. Near ones come
+// first; a slow way or a cold member, for which what it turns away counts as work too, is left alone.
+func (g *Gateway) silent(members []*member, span Nanos) *member {
 	var best *member
 	for _, m := range members {
-		last := max(m.heardAt, m.askedAt)
-		if m.barred || m.role == rolePrimary || last >= m.lackAt || g.now-last < max(span, m.lag/askPart) ||
-			!g.warmEnough(m) { // what a cold member turns away counts as work too
+		last, far := max(m.heardAt, m.askedAt), m.zone != g.site.Zone
+		if m.barred || m.role == rolePrimary || m.named || m.suspect || g.now-last < max(span, m.lag/askPart) ||
+			g.now < m.restTo || far && g.detourTo(m.zone) > pulse || !g.warmEnough(m) {
 			continue
 		}
-		if best == nil || last < max(best.heardAt, best.askedAt) {
+		if best == nil || !far && best.zone != m.zone ||
+			far == (best.zone != g.site.Zone) && last < max(best.heardAt, best.askedAt) {
 			best = m
 		}
 	}
@@ -955,7 +953,8 @@
 	return best
 }
 
-// probe asks by probes where their reports hold a position.
+// probe asks members that refused connections whether they run, and where reports hold a position, those that
+// reads passed over for want of proof.
 func (g *Gateway) probe() (Decision, bool) {
 	if len(g.checks) > 0 {
 		server := g.checks[0]
@@ -963,37 +962,23 @@
 		return Decision{Kind: Probe, Server: server}, true
 	}
 	shown := g.site.LoadReport.How != "none" && slices.Contains(g.site.LoadReport.Fields, "x0")
-	if g.site.Limits.Probes && shown {
-		g.lacking = slices.DeleteFunc(g.lacking, (*member).told)
-		if m := g.unheard(g.lacking, askSpan); m != nil {
-			return Decision{Kind: Probe, Server: m.id}, true
-		}
+	if !g.site.Limits.Probes || !shown || len(g.lacking) == 0 {
+		return Decision{}, false
+	}
+	g.lacking = slices.DeleteFunc(g.lacking, (*member).told)
+	if m := g.silent(g.lacking, askSpan); m != nil {
+		return Decision{Kind: Probe, Server: m.id}, true
 	}
 	return Decision{}, false
 }
 
-// detour sends a write by the replica that was silent for longest, whose miss runs nothing and tells its position,
-// where no report does: a gateway with a txn for a group once in many seconds has no proof for its reads else.
+// detour sends a write by a silent replica, whose miss runs nothing and tells its position, where no report does.
 func (g *Gateway) detour(t *txn) *member {
 	if g.site.Family.WhenBehind != "none" || !g.site.Family.AnswersStamped || len(t.subs) > 0 ||
 		g.site.LoadReport.How != "none" || g.site.Limits.MaxAttempts < 4 {
 		return nil
 	}
-	var best *member
-	for _, m := range t.group.members {
-		last := max(m.heardAt, m.askedAt)
-		if m.role == rolePrimary || m.named || m.suspect || g.now-last < max(askWrite, m.lag/askPart) ||
-			g.now < m.restTo || m.barred || !g.warmEnough(m) || m.zone != g.site.Zone && g.detourTo(m.zone) > pulse {
-			continue
-		}
-		if best == nil || m.zone == g.site.Zone && best.zone != m.zone || m.zone == best.zone && last < max(best.heardAt, best.askedAt) {
-			best = m
-		}
-	}
-	if best != nil {
-		best.askedAt = g.now
-	}
-	return best
+	return g.silent(t.group.members, askWrite)
 }
 
 // pick is the least loaded member with room among those that will do.
