--- a/decide/decide.go
+++ b/decide/decide.go
@@ -515,11 +515,6 @@
 	t.group.waiting[row] = append(t.group.waiting[row], t)
 }
 
-// worthless tells that no answer to the txn earns anything any more; it is served only where nobody minds.
-func (g *Gateway) worthless(t *txn) bool {
-	return t.aim <= t.arrived && g.site.Classes[t.class].LateValue == 0
-}
-
 // steps are what a round looks at, in this order.
 var steps = [...]func(*Gateway) (Decision, bool){
 	(*Gateway).ask, (*Gateway).review, (*Gateway).hangUp, (*Gateway).dispatch, (*Gateway).probe, (*Gateway).line, (*Gateway).wake,
@@ -611,7 +606,7 @@
 	// sent that could show that it is over.
 	need := min(Nanos(hopeless*g.expected(t.class)), c.Aim/2)
 	last := t.expiry - 2*g.site.Tick
-	if t.out == 0 && c.LateValue == 0 && !g.worthless(t) {
+	if t.out == 0 && c.LateValue == 0 && t.aim > t.arrived {
 		last = min(last, t.aim-need)
 	} else if t.out == 0 {
 		last = min(last, t.expiry-need)
@@ -1009,11 +1004,7 @@
 		safe := m.unreached || g.site.Classes[t.class].Effect == "repeatable"
 		return g.now >= m.trialAt && safe && t.out == 0 && g.now >= t.pauseTo && g.warmEnough(m)
 	}
-	limit := m.limit
-	if g.worthless(t) {
-		limit /= 4
-	}
-	return float64(m.out) < limit && g.warmEnough(m)
+	return float64(m.out) < m.limit && g.warmEnough(m)
 }
 
 // allSuspect: when every member is suspect the fault is more likely here or on the way, so none is avoided.
