--- a/decide/decide.go
+++ b/decide/decide.go
@@ -10,7 +10,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"slices"
 )
 
@@ -45,7 +44,7 @@
 	baseMost     = 0.35      // and at most: a gateway that starts in a jam must not take that for its base
 	baseCount    = 50        // answers lately that a mean needs to count
 	baseCreep    = 1e-4      // part of the difference by which the base rises with each answer
-	unseenLate   = 0.85      // of the latency that cuts limits, taken for a primary nobody has heard of: reads hold back
+	unseenLate   = 0.85      // of the latency that cuts limits, for a primary nobody has heard of
 	leanCount    = 2.0       // answers of a member itself that weigh as much as all of its peers together
 	luckPart     = 2.0       // reads keep off primaries by chance from half of the latency that cuts limits
 	hopeless     = 1.2       // mean service times that must be left for a txn to be worth sending
@@ -57,27 +56,12 @@
 	shedOn       = 10.0      // txns given up within the last seconds that are worth a line in the log
 	refusedRest  = 100 * ms  // a member that refused a connection rests this long, give or take a half
 	refusedCount = 4         // refusals with no answer between them that make it suspect, after a second
-	scarceCount  = 3.0       // refusals of late that make connections scarce: one member that is down brings fewer
+	scarceCount  = 3.0       // refusals of late that make connections scarce: one that is down brings fewer
 	coldPart     = 0.7       // of the multiple at which a cold member falls over: what may be planned for
+	usualMost    = 1000      // tries of another time that make the usual one give way, at most
 	usualSteps   = 50        // a time for a try within this part of the client's limit of the usual one is usual
 )
 
-// New reads the settings and returns an instance that knows nothing else.
-func New(seed uint64, settings []byte) (*Gateway, error) {
-	s, err := readSite(settings)
-	if err != nil {
-		return nil, err
-	}
-	g := &Gateway{site: s, rng: newPCG(seed), base: baseFirst, askSpan: askFirst,
-		members: map[Server]*member{}, txns: map[uint64]*txn{}, listed: map[Server]bool{},
-		unserved: map[unserved]Nanos{},
-		service:  make([]service, len(s.Classes))}
-	for i := range 3 * len(s.Classes) {
-		g.ranking = append(g.ranking, i)
-	}
-	return g, nil
-}
-
 // Arrived takes a txn. age is that of its session's last write, 0 for none or not told.
 func (g *Gateway) Arrived(id uint64, class, _ int, session uint64, budget, work Nanos, grp int,
 	age Nanos) error {
@@ -91,7 +75,7 @@
 	t.aim = g.now + g.patience(class) + Nanos(c.AimStretch*float64(work))
 	// First tries of a type all get the same time, the usual one. Another time marks a client's repeat, which
 	// has what is left of its limit, less or more: that tells how much of the SLA time went by before.
-	if usual := &g.service[class].usual; !usual.counts(budget, c.HardLimit/usualSteps) {
+	if usual := &g.service[class].usual; !usual.counts(budget, c.HardLimit/usualSteps, usualMost) {
 		t.first = min(g.now, t.expiry-c.HardLimit)
 	}
 	// So is one of a session whose last txn of the type was not served and began within the client's limit.
@@ -162,21 +146,17 @@
 		}
 	case Failed:
 		g.answered(m)
-		s.ran = true
 	case TimedOut:
-		s.ran = true
 		// Only a wait that is long for this member tells of it; a client's short patience does not.
 		if m.quietSince <= s.at && float64(g.now-s.at) > silentLeast*g.meanLatency(m) {
 			g.suspects(m, "time-out without an answer since")
 		}
 	case Broken:
-		s.ran = true
 		m.unreached = true
 		g.suspects(m, "connection broken")
-	case Cancelled:
-		s.ran = true
 	}
-	if s.ran && (t.ranAt == 0 || s.at < t.ranAt) {
+	ran := r == Failed || r == TimedOut || r == Broken || r == Cancelled
+	if ran && (t.ranAt == 0 || s.at < t.ranAt) {
 		t.ranAt = s.at
 	}
 	if t.group.scout == t {
@@ -230,20 +210,18 @@
 
 // ListEnds closes an announcement: members that a whole list lacks are gone.
 func (g *Gateway) ListEnds(scope Scope) {
+	g.serving = 0
 	for _, m := range g.members {
 		if scope != Delta && !g.listed[m.id] {
 			m.ready, m.named = false, false
 			m.barred = g.bars(m)
 		}
+		if !m.barred {
+			g.serving++
+		}
 	}
 	clear(g.listed)
-	g.serving = 0
 	for _, grp := range g.groups {
-		for _, m := range grp.members {
-			if !m.barred {
-				g.serving++
-			}
-		}
 		g.notePrimary(grp)
 	}
 	if scope == CachedList {
@@ -275,7 +253,6 @@
 // heardNote takes an answer's word on role and position.
 func (g *Gateway) heardNote(m *member, note uint32) {
 	if role := int(note & 3); role == rolePrimary || role == roleReplica {
-		changed := m.role != role
 		m.role, m.roleAt = role, g.now
 		for _, o := range m.group.members {
 			// One primary at a time: the newest word wins, whichever way the other's answers are late.
@@ -283,9 +260,7 @@
 				o.role = roleUnknown
 			}
 		}
-		if changed {
-			g.notePrimary(m.group)
-		}
+		g.notePrimary(m.group)
 	}
 	if at := Nanos(note>>2) * Millisecond; at > 0 {
 		m.reached(g.site.Family.Zero + at)
@@ -302,28 +277,25 @@
 		switch field {
 		case "x0":
 			if report[i] > 0 {
-				// The figure is rounded to 24 bits: a microsecond in sixteen seconds, so a little is
-				// taken off.
+				// The figure is rounded to 24 bits, a microsecond in sixteen seconds: that is taken off.
 				at := g.site.Family.Zero + Millis(float64(report[i])*(1-1e-6)*1000)
 				m.reached(at)
 				m.lag, m.lagAt, m.heardAt = min(g.behind(m), g.now-at), g.now, g.now
 			}
 		case "x1":
-			if g.now-m.roleAt > reportAge || m.role == roleUnknown {
-				if report[i] == 1 && m.role != rolePrimary {
-					g.heardNote(m, rolePrimary)
-					m.roleAt = 0
-				} else if report[i] != 1 && m.role != roleReplica {
-					m.role = roleReplica
-					g.notePrimary(m.group)
-				}
+			newer := g.now-m.roleAt > reportAge || m.role == roleUnknown
+			if newer && report[i] == 1 && m.role != rolePrimary {
+				g.heardNote(m, rolePrimary)
+				m.roleAt = 0
+			} else if newer && report[i] != 1 {
+				m.role = roleReplica
+				g.notePrimary(m.group)
 			}
 		}
 	}
 }
 
-// proven takes what a committed txn shows: a write its commit, a read that a replica checked its token
-// or bound.
+// proven takes what a committed txn shows: a write its commit, a checked read its token or bound.
 func (g *Gateway) proven(t *txn, s *submission, m *member, note uint32) {
 	switch g.site.Family.Consistency[t.class] {
 	case "mutate":
@@ -370,9 +342,9 @@
 	}
 }
 
-// refused takes a connection that was turned down at once: the machine runs, but its process is down or takes no
-// more connections. A probe, which needs none, tells which. One that is down comes back cold, and what all gateways
-// held back meanwhile must not meet it at once: it gets a cold member's budget from now on.
+// refused takes a connection that was turned down at once: the process is down or takes no more connections. A
+// probe, which needs none, tells which. One that is down comes back cold, and what all gateways held back must
+// not meet it at once: it has a cold member's budget from now on.
 func (g *Gateway) refused(m *member) {
 	g.refusals.add(g.now, fadeClass, 1)
 	if m.refusals++; m.refusals == 1 {
@@ -397,7 +369,7 @@
 	}
 }
 
-// scarce: so many connections are refused that idle ones are better closed, for other gateways to open theirs.
+// scarce: so many are refused that idle connections are better closed, for other gateways to open theirs.
 func (g *Gateway) scarce() bool { return g.refusals.read(g.now, fadeClass) > scarceCount }
 
 // suspects takes a member out of the ordinary choice until it answers; it keeps getting trials.
@@ -413,7 +385,7 @@
 
 // measured takes a committed submission's latency and moves the member's limit: one up, or down by a share.
 func (g *Gateway) measured(m *member, t *txn, elapsed Nanos) {
-	g.wayOf(m.zone).add(g.now, elapsed)
+	g.wayOf(m.zone).add(g.now, fadeLatency, elapsed)
 	x := float64(max(0, elapsed-g.detourTo(m.zone)))
 	late := x / float64(g.patience(t.class))
 	m.elapsed.add(g.now, fadeLatency, float64(elapsed))
@@ -440,11 +412,10 @@
 	}
 }
 
-// detourTo is how much longer the way to a zone takes than the way within this one: the difference between the
-// quickest answers of late, which crowded members hardly change. It is the way's fault and no member's: it
-// cuts no limit, and reads that it would make worthless stay near.
+// detourTo is how much longer the way to a zone takes than the way within this one: the difference between
+// the quickest answers of late, which crowded members hardly change. It is no member's fault and cuts no limit.
 func (g *Gateway) detourTo(zone int) Nanos {
-	here, there := g.wayOf(g.site.Zone).least(g.now), g.wayOf(zone).least(g.now)
+	here, there := g.wayOf(g.site.Zone).least(g.now, fadeLatency), g.wayOf(zone).least(g.now, fadeLatency)
 	if here == 0 || there <= here {
 		return 0
 	}
@@ -456,9 +427,8 @@
 	return g.site.Classes[t.class].LateValue > 0 || g.now+g.detourTo(m.zone) < t.aim
 }
 
-// learnBase follows the latency, in SLA times, that this gateway's txns have when nothing is crowded:
-// the lowest mean seen, which creeps up by a small part of the difference with each answer so that one
-// lucky moment does not last.
+// learnBase follows the latency, in SLA times, when nothing is crowded: the lowest mean seen, which creeps up
+// with each answer so that one lucky moment does not last.
 func (g *Gateway) learnBase(late float64) {
 	g.late.add(g.now, fadeClass, late)
 	if g.late.n.sum > baseCount {
@@ -467,7 +437,7 @@
 	}
 }
 
-// lateLimit is the mean latency, in SLA times, that cuts a member's limit: part of the way from uncrowded to too late.
+// lateLimit is the mean latency, in SLA times, that cuts a limit: part of the way from uncrowded to too late.
 func (g *Gateway) lateLimit(m *member) float64 {
 	part := latePart
 	if m.role == roleReplica && g.behind(m) > waitSpan {
@@ -476,8 +446,7 @@
 	return g.base + (1-g.base)*part
 }
 
-// patience is the time within which an answer to a txn type is of use: its SLA time, or where a good share
-// of clients leave sooner, how long those stayed.
+// patience is a type's SLA time, or where a good share of clients leave sooner, how long those stayed.
 func (g *Gateway) patience(class int) Nanos {
 	s, aim := &g.service[class], g.site.Classes[class].Aim
 	left := s.left.read(g.now, fadeClass)
@@ -492,15 +461,11 @@
 	return g.service[class].took.lean(g.now, fadeClass, float64(g.site.Classes[class].Aim)/4, 1)
 }
 
-// slowness compares a member's latency with what its txns took anywhere.
-func (g *Gateway) slowness(m *member) float64 { return m.slow.lean(g.now, fadeLatency, 1, 2) }
-
 func (g *Gateway) meanLatency(m *member) float64 {
 	return m.elapsed.lean(g.now, fadeLatency, g.expected(0)+float64(g.detourTo(m.zone)), 1)
 }
 
-// queue puts a txn into its row. Reads that any replica can serve have rows of their own, so that they
-// do not wait behind those that find no replica fresh enough.
+// queue puts a txn into its row. Reads that any replica can serve do not wait behind those that need proof.
 func (g *Gateway) queue(t *txn) {
 	row := t.class
 	switch {
@@ -517,7 +482,8 @@
 
 // steps are what a round looks at, in this order.
 var steps = [...]func(*Gateway) (Decision, bool){
-	(*Gateway).ask, (*Gateway).review, (*Gateway).hangUp, (*Gateway).dispatch, (*Gateway).probe, (*Gateway).line, (*Gateway).wake,
+	(*Gateway).ask, (*Gateway).review, (*Gateway).hangUp, (*Gateway).dispatch, (*Gateway).probe,
+	(*Gateway).line, (*Gateway).wake,
 }
 
 // ask follows the list; a call that got no word at all is made again too.
@@ -536,7 +502,8 @@
 	}
 	next := g.now + max(span, g.site.Tick)
 	// A call that is due later than that does not do for a txn that came since, with little time of its own.
-	if g.wakeAt > g.now && g.wakeAt <= next || len(g.open) == 0 && (g.follows || g.site.MembershipMode != "ask") {
+	idle := len(g.open) == 0 && (g.follows || g.site.MembershipMode != "ask")
+	if idle || g.wakeAt > g.now && g.wakeAt <= next {
 		return Decision{}, false
 	}
 	g.wakeAt = next
@@ -558,7 +525,14 @@
 				g.suspects(m, "silent")
 			}
 		}
-		g.tidy()
+		given := g.given.read(g.now, fadeLatency)
+		if given > shedOn && !g.shedding || given < 1 && g.shedding {
+			g.shedding = !g.shedding
+			g.log("giving up unserved txns: %v, %.0f of late", g.shedding, given)
+		}
+		if g.now-g.sweptAt > fadeClass {
+			g.sweep()
+		}
 		g.open = slices.DeleteFunc(g.open, func(t *txn) bool { return t.done && t.out == 0 })
 	}
 	for g.cursor < len(g.open) {
@@ -572,25 +546,6 @@
 	return Decision{}, false
 }
 
-// tidy prunes tokens and logs changes of mode that no single input brings.
-func (g *Gateway) tidy() {
-	given := g.given.read(g.now, fadeLatency)
-	if given > shedOn && !g.shedding || given < 1 && g.shedding {
-		g.shedding = !g.shedding
-		g.log("giving up unserved txns: %v, %.0f of late", g.shedding, given)
-	}
-	if g.now-g.sweptAt > fadeClass {
-		g.sweptAt = g.now
-		for _, grp := range g.groups {
-			low := grp.passed()
-			maps.DeleteFunc(grp.tokens, func(_ uint64, at Nanos) bool { return at <= low })
-		}
-		maps.DeleteFunc(g.unserved, func(k unserved, at Nanos) bool {
-			return g.now-at > g.site.Classes[k.class].HardLimit
-		})
-	}
-}
-
 func (g *Gateway) reviewTxn(t *txn) (Decision, bool) {
 	c := &g.site.Classes[t.class]
 	if t.done {
@@ -673,9 +628,6 @@
 	g.unserved[unserved{t.session, t.class}] = t.first
 	g.given.add(g.now, fadeLatency, 1)
 	g.forget(t)
-	if t.group.scout == t {
-		t.group.scout = nil
-	}
 	c := &g.site.Classes[t.class]
 	again := c.Effect == "repeatable" || c.Effect == "by_key" && c.Group == "all"
 	if again || t.ranAt == 0 && t.out == 0 {
@@ -688,14 +640,13 @@
 	return Decision{Kind: RollBack, Txn: t.id}
 }
 
-// rowValue is what a unit of service time earns in a row of waiting txns. What the worst served class is
-// short of counts by its weight in the objective as well.
+// rowValue is what a unit of service time earns in a row.
 func (g *Gateway) rowValue(row int) float64 {
 	n := len(g.site.Classes)
 	class := row % n
 	c, s := &g.site.Classes[class], &g.service[class]
 	value := c.Worth
-	if class == g.poorest {
+	if class == g.poorest { // it counts by its weight in the objective as well
 		value += g.site.ObjectiveMix.WorstClass * g.asked / max(1, s.came.read(g.now, fadeClass))
 	}
 	if row >= 2*n {
@@ -754,20 +705,13 @@
 }
 
 func (g *Gateway) submit(t *txn, m *member) Decision {
-	if !m.busy {
-		m.busy, g.busy = true, append(g.busy, m)
-	}
-	if m.out == 0 {
-		m.quietSince = g.now
-	}
 	if m.suspect {
 		m.trial = min(m.trial*2, trialLast)
 		m.trialAt = g.now + m.trial
 	}
 	m.credit -= g.expected(t.class)
 	m.carried.add(g.now, fadeClass, g.expected(t.class))
-	t.opened(m, g.now)
-	t.waiting = false
+	g.opened(t, m)
 	return Decision{Kind: Submit, Txn: t.id, Server: m.id, Until: t.expiry}
 }
 
@@ -819,8 +763,7 @@
 		return g.spare(t, p)
 	}
 	if checked && !t.passed {
-		// Step 4 where replicas check: their hold is the wait. One that cannot make it within that is
-		// left alone.
+		// Step 4 where replicas check: their hold is the wait, if one can make it within that.
 		likely := func(m *member) bool { return m != p && g.now-g.behind(m)+g.site.Family.Hold >= floor }
 		if m = g.pick(t, likely); m != nil {
 			return m
@@ -847,9 +790,8 @@
 	return nil
 }
 
-// spare is the primary for a read, as far as its writes leave room: none while writes wait here, and
-// less the nearer its latency comes to what cuts the limit, so that the reads of all gateways make way
-// before anyone's writes have to.
+// spare is the primary for a read, as far as its writes leave room: none while writes wait here, and less the
+// nearer its latency comes to what cuts the limit, so that reads make way before anyone's writes have to.
 func (g *Gateway) spare(t *txn, p *member) *member {
 	sure := p != nil && (p.role == rolePrimary || p.named || g.site.Family.WhenBehind != "none")
 	if !sure || p.suspect || !g.room(p, t) || !g.inTime(t, p) || t.out > 0 && t.tried(p, 0) {
@@ -865,20 +807,14 @@
 	if t.luck == 0 {
 		t.luck = g.rng.unit()
 	}
-	free := 1 - g.primaryLate(p)/g.lateLimit(p)
+	all := g.primaries.lean(g.now, fadeClass, unseenLate*g.lateLimit(p), 1)
+	free := 1 - p.late.lean(g.now, fadeLatency, all, leanCount)/g.lateLimit(p)
 	if float64(p.out) < p.limit*free && t.luck < luckPart*free {
 		return p
 	}
 	return nil
 }
 
-// primaryLate is a primary's mean latency in SLA times, leaning on that of all primaries as far as it was seen
-// little of late.
-func (g *Gateway) primaryLate(p *member) float64 {
-	all := g.primaries.lean(g.now, fadeClass, unseenLate*g.lateLimit(p), 1)
-	return p.late.lean(g.now, fadeLatency, all, leanCount)
-}
-
 // placeOnPrimary is step 1; without a primary that answers, one write at a time tries the members in turn.
 func (g *Gateway) placeOnPrimary(t *txn, p *member, write bool) *member {
 	if p != nil && !p.suspect {
@@ -901,9 +837,8 @@
 	}
 	var best *member
 	for _, m := range grp.members {
-		// Who has just said that it is a replica, to any txn, is not asked again: that is the pause
-		// after a round.
-		// Nor is one that was asked and has not answered: a second write would be stuck there with the first.
+		// Who has just said that it is a replica is not asked again, which is the pause after a round, nor is
+		// one that was asked and has not answered: a second write would be stuck there with the first.
 		asked := g.now-m.askedAt < hold || m.out > 0 && m.quietSince <= m.askedAt ||
 			m.role == roleReplica && g.now-m.roleAt < hold
 		if m == p || m.barred || m.suspect || asked || !g.warmEnough(m) {
@@ -922,8 +857,20 @@
 	return best
 }
 
-// behind guesses how far a member lags: as last heard, and less the longer ago that was, so that a lag
-// which nobody tells the end of is tried again. No read that a server does not check relies on it.
+// passed is the position that every replica is known to have reached, after which a token need not hold
+// (step 2).
+func (grp *group) passed() Nanos {
+	low := Nanos(1 << 62)
+	for _, m := range grp.members {
+		if m.ready && m.role != rolePrimary {
+			low = min(low, m.position)
+		}
+	}
+	return low
+}
+
+// behind guesses how far a member lags: as last heard, less the longer ago that was, so that a lag is tried
+// again. No read that a server does not check relies on it.
 func (g *Gateway) behind(m *member) Nanos { return max(0, m.lag-(g.now-m.lagAt)) }
 
 // silent is a replica that was not heard of for a span, to be asked for its position: proof comes from the very
@@ -951,9 +898,7 @@
 // probe asks members that refused connections whether they run, and where reports hold a position, those that
 // reads passed over for want of proof.
 func (g *Gateway) probe() (Decision, bool) {
-	if len(g.checks) > 0 {
-		server := g.checks[0]
-		g.checks = g.checks[1:]
+	if server, ok := pop(&g.checks); ok {
 		return Decision{Kind: Probe, Server: server}, true
 	}
 	shown := g.site.LoadReport.How != "none" && slices.Contains(g.site.LoadReport.Fields, "x0")
@@ -984,7 +929,8 @@
 		if m.barred || !will(m) || !g.room(m, t) || (t.out > 0 && t.tried(m, 0)) || !g.inTime(t, m) {
 			continue
 		}
-		cost := float64(m.out+1) * g.slowness(m) * (1 + 0.01*g.rng.unit())
+		// How slow it is compares its latency with what its txns took anywhere.
+		cost := float64(m.out+1) * m.slow.lean(g.now, fadeLatency, 1, leanCount) * (1 + 0.01*g.rng.unit())
 		if m.zone != g.site.Zone {
 			cost *= farPenalty + float64(g.detourTo(m.zone))/g.expected(t.class)
 		}
@@ -1013,9 +959,9 @@
 }
 
 // warmEnough keeps a cold member from being pushed over. Its budget is the share that its age assures it can
-// do of the mean demand on a member, as this gateway sees it: a mean is additive, so the budgets of all
-// gateways together are that share of the whole demand, however few or uneven they are, with no warm peer
-// needed. Each starts at a point drawn by chance below nothing: else hundreds would send their first at once.
+// do of the mean demand on a member: means add up, so the budgets of all gateways together are that share of
+// all demand, however uneven they are, with no warm peer needed. Each starts at a point drawn by chance below
+// nothing: else hundreds would send their first at once.
 func (g *Gateway) warmEnough(m *member) bool {
 	r := &g.site.Rules
 	age := g.now - m.startedAt
@@ -1023,7 +969,8 @@
 		return true
 	}
 	share := r.ColdFrom + (1-r.ColdFrom)*max(0, float64(age)/float64(r.Cold))
-	rate := g.demand.perSpan(g.now, g.startedAt, fadeClass) / float64(max(1, g.serving)) * share * coldPart * r.FallMultiple
+	rate := g.demand.perSpan(g.now, g.startedAt, fadeClass) / float64(max(1, g.serving))
+	rate *= share * coldPart * r.FallMultiple
 	if m.late.lean(g.now, fadeLatency, 0, 0) < g.lateLimit(m)/2 {
 		// It answers as quickly as if uncrowded, so what it gets now it can do: that may grow by a part of
 		// what the rule's multiple leaves, however little the mean demand is.
--- a/decide/state.go
+++ b/decide/state.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 )
@@ -107,7 +108,7 @@
 type submission struct {
 	to        *member
 	at        Nanos
-	over, ran bool // ran: it ended and may have had an effect
+	over      bool
 	cancelled bool
 }
 
@@ -145,9 +146,9 @@
 }
 
 // counts takes a value and tells whether it is the most frequent one.
-func (m *mode) counts(x, tolerance Nanos) bool {
+func (m *mode) counts(x, tolerance Nanos, most int) bool {
 	if m.value-tolerance <= x && x <= m.value+tolerance {
-		m.votes = min(m.votes+2, 1000)
+		m.votes = min(m.votes+2, most)
 		return true
 	}
 	m.votes--
@@ -208,6 +209,22 @@
 	given     decaying // txns given up unserved
 }
 
+// New reads the settings and returns an instance that knows nothing else.
+func New(seed uint64, settings []byte) (*Gateway, error) {
+	s, err := readSite(settings)
+	if err != nil {
+		return nil, err
+	}
+	g := &Gateway{site: s, rng: newPCG(seed), base: baseFirst, askSpan: askFirst,
+		members: map[Server]*member{}, txns: map[uint64]*txn{}, listed: map[Server]bool{},
+		unserved: map[unserved]Nanos{},
+		service:  make([]service, len(s.Classes))}
+	for i := range 3 * len(s.Classes) {
+		g.ranking = append(g.ranking, i)
+	}
+	return g, nil
+}
+
 func (g *Gateway) groupOf(id int) *group {
 	for _, grp := range g.groups {
 		if grp.id == id {
@@ -234,30 +251,24 @@
 
 // hangUp hands out the members whose idle connections are to be closed.
 func (g *Gateway) hangUp() (Decision, bool) {
-	if len(g.hangUps) == 0 {
-		return Decision{}, false
-	}
-	server := g.hangUps[0]
-	g.hangUps = g.hangUps[1:]
-	return Decision{Kind: HangUp, Server: server}, true
+	server, ok := pop(&g.hangUps)
+	return Decision{Kind: HangUp, Server: server}, ok
 }
 
 // way keeps the quickest answer from a zone, of this span and of the one before.
 type way struct{ quickest, before, turnedAt Nanos }
 
-const waySpan = 2000 * Millisecond
-
-func (w *way) add(now, elapsed Nanos) {
-	w.least(now)
+func (w *way) add(now, span, elapsed Nanos) {
+	w.least(now, span)
 	if w.quickest == 0 || elapsed < w.quickest {
 		w.quickest = elapsed
 	}
 }
 
 // least is the quickest answer of late, 0 if there was none.
-func (w *way) least(now Nanos) Nanos {
-	if now-w.turnedAt >= waySpan {
-		if w.before = w.quickest; now-w.turnedAt >= 2*waySpan {
+func (w *way) least(now, span Nanos) Nanos {
+	if now-w.turnedAt >= span {
+		if w.before = w.quickest; now-w.turnedAt >= 2*span {
 			w.before = 0
 		}
 		w.quickest, w.turnedAt = 0, now
@@ -299,11 +310,18 @@
 }
 
 // opened and closed keep count of what is in flight.
-func (t *txn) opened(m *member, now Nanos) {
-	t.subs = append(t.subs, submission{to: m, at: now})
+func (g *Gateway) opened(t *txn, m *member) {
+	if !m.busy {
+		m.busy, g.busy = true, append(g.busy, m)
+	}
+	if m.out == 0 {
+		m.quietSince = g.now
+	}
+	t.subs = append(t.subs, submission{to: m, at: g.now})
+	t.waiting = false
 	t.out++
 	m.out++
-	m.sentSum += now
+	m.sentSum += g.now
 }
 
 func (t *txn) closed(s *submission) {
@@ -315,23 +333,14 @@
 
 // forget drops a txn whose answer is given once its submissions are over.
 func (g *Gateway) forget(t *txn) {
+	if t.done && t.group.scout == t {
+		t.group.scout = nil
+	}
 	if t.done && t.out == 0 {
 		delete(g.txns, t.id)
 	}
 }
 
-// passed is the position that every replica is known to have reached, after which a token need not hold
-// (step 2).
-func (grp *group) passed() Nanos {
-	low := Nanos(math.MaxInt64)
-	for _, m := range grp.members {
-		if m.ready && m.role != rolePrimary {
-			low = min(low, m.position)
-		}
-	}
-	return low
-}
-
 // reached raises a proven position; one that was proven holds for good, through changes of role as well.
 func (m *member) reached(at Nanos) { m.position = max(m.position, at) }
 
@@ -418,3 +427,24 @@
 	seen := -math.Expm1(-float64(max(now-began, Millisecond)) / float64(fade))
 	return d.read(now, fade) / float64(fade) / seen
 }
+
+// sweep drops tokens that every replica has passed and sessions whose client's time is over.
+func (g *Gateway) sweep() {
+	g.sweptAt = g.now
+	for _, grp := range g.groups {
+		low := grp.passed()
+		maps.DeleteFunc(grp.tokens, func(_ uint64, at Nanos) bool { return at <= low })
+	}
+	maps.DeleteFunc(g.unserved, func(k unserved, at Nanos) bool {
+		return g.now-at > g.site.Classes[k.class].HardLimit
+	})
+}
+
+// pop takes the first of a list.
+func pop(list *[]Server) (first Server, ok bool) {
+	if len(*list) > 0 {
+		first, *list = (*list)[0], (*list)[1:]
+		return first, true
+	}
+	return first, false
+}
