Limits below one for gateways with few answers of a member; an error clears no suspicion

An error no longer clears a suspicion: worthless txns get one from any member. Harm: a gateway whose few answers were slow by chance declines some low-value reads for a few seconds.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,7 +23,7 @@
 	askSpan      = 200 * ms  // a replica is asked for its position this often at most: a session's pause
 	askWrite     = 2000 * ms // by a write on its way only when reads have told nothing for this long
 	askPart      = 8         // or once in this part of its lag, which it cannot make up sooner
-	askFirst     = 250 * ms  // list calls that fail are made again after this, doubled and jittered
+	retryFirst   = 250 * ms  // failed list calls and trials of suspects come again after this, doubled each time
 	pulse        = 5 * ms    // how often open txns are looked at: often against any SLA time
 	idlePulse    = 20 * ms   // the same while all of them are in flight: short against any answer
 	rankSpan     = 100 * ms  // rows are ranked anew after this: they change with means of seconds
@@ -32,10 +32,11 @@
 	silentMeans  = 12.0      // a suspect's work in flight has waited for this many mean latencies in all
 	silentLeast  = 4.0       // and its last answer was this many ago: both are rare by chance
 	leaveShare   = 0.05      // of a type's clients who leave early: above it their stay replaces the SLA time
-	trialFirst   = 250 * ms  // a suspect gets a trial read after this, doubled each time it fails
-	trialLast    = 2000 * ms // up to this, so that one that came back is not left idle for long
+	trialLast    = 2000 * ms // trials up to this, so that one that came back is not left idle for long
 	longestQuiet = 1000 * ms // a suspect that is back after longer starts again with a small limit
 	limitStart   = 8.0       // first limit on what is in flight to a member: a few cores' worth
+	fewAnswers   = 5.0       // answers of late under which this gateway matters little to a member
+	leastLimit   = 0.2       // least limit, and its step below one: one for each of hundreds is too much
 	leastWrites  = 3.0       // least limit of a primary, which may be slow without being crowded
 	limitCut     = 0.8       // share left of a limit when answers come too late
 	lagPart      = 0.1       // the same for a replica that is further behind than a tokened read waits
@@ -144,8 +145,6 @@
 			m.unreached = true
 			g.suspects(m, "no connection")
 		}
-	case Failed:
-		g.answered(m)
 	case TimedOut:
 		// Only a wait that is long for this member tells of it; a client's short patience does not.
 		if m.quietSince <= s.at && float64(g.now-s.at) > silentLeast*g.meanLatency(m) {
@@ -226,13 +225,13 @@
 	}
 	if scope == CachedList {
 		// All gateways may have started together: the first call is spread.
-		g.follows, g.askAt = false, g.now+Nanos(g.rng.unit()*float64(askFirst))
+		g.follows, g.askAt = false, g.now+Nanos(g.rng.unit()*float64(retryFirst))
 		return
 	}
 	if !g.follows && g.site.MembershipMode == "ask" {
 		g.log("list followed, %d members", g.serving)
 	}
-	g.follows, g.askSpan = true, askFirst
+	g.follows, g.askSpan = true, retryFirst
 }
 
 // ListFailed tells that a call for the list failed or that the subscription broke.
@@ -270,10 +269,8 @@
 
 // heardReport takes a report's position, which holds though it is old, and its role where no answer is newer.
 func (g *Gateway) heardReport(m *member, report []float32) {
-	for i, field := range g.site.LoadReport.Fields {
-		if i >= len(report) {
-			return
-		}
+	fields := g.site.LoadReport.Fields
+	for i, field := range fields[:min(len(fields), len(report))] {
 		switch field {
 		case "x0":
 			if report[i] > 0 {
@@ -331,8 +328,8 @@
 		down = false
 	}
 	if down && g.crowds.read(g.now, fadeClass) < 1 {
-		// It may have started anew, and the list tells that seconds late, if at all: until then
-		// it was sent all at once what pushed it over.
+		// It may have started anew, and the list tells that seconds late, if at all: until then it was sent
+		// all at once what pushed it over.
 		g.starts(m, g.now)
 		g.log("member %v taken for cold after refusing connections or losing them", m.id)
 	}
@@ -342,9 +339,9 @@
 	}
 }
 
-// refused takes a connection that was turned down at once: the process is down or takes no more connections. A
-// probe, which needs none, tells which. One that is down comes back cold, and what all gateways held back must
-// not meet it at once: it has a cold member's budget from now on.
+// refused takes a connection that was turned down at once: the process is down or takes no more connections,
+// and a probe, which needs none, tells which. One that is down comes back cold, and what all gateways held
+// back must not meet it at once: it has a cold member's budget from now on.
 func (g *Gateway) refused(m *member) {
 	g.refusals.add(g.now, fadeClass, 1)
 	if m.refusals++; m.refusals == 1 {
@@ -363,21 +360,17 @@
 		m.unreached = true
 		g.suspects(m, "connections refused")
 	}
-	if scarce := g.scarce(); scarce != g.sparing {
-		g.sparing = scarce
-		g.log("connections scarce: %v, %.0f refused of late", scarce, g.refusals.read(g.now, fadeClass))
-	}
 }
 
 // scarce: so many are refused that idle connections are better closed, for other gateways to open theirs.
-func (g *Gateway) scarce() bool { return g.refusals.read(g.now, fadeClass) > scarceCount }
+func (g *Gateway) scarce() bool { return g.noteScarce(g.refusals.read(g.now, fadeClass), scarceCount) }
 
 // suspects takes a member out of the ordinary choice until it answers; it keeps getting trials.
 func (g *Gateway) suspects(m *member, why string) {
 	if m.suspect {
 		return
 	}
-	m.suspect, m.suspectAt, m.trial = true, g.now, trialFirst
+	m.suspect, m.suspectAt, m.trial = true, g.now, retryFirst
 	m.trialAt = g.now + m.trial
 	quiet := (g.now - m.quietSince) / Millisecond
 	g.log("member %v suspect: %s, %d in flight, quiet for %d ms", m.id, why, m.out, quiet)
@@ -400,20 +393,25 @@
 		return
 	}
 	switch {
-	case m.late.lean(g.now, fadeLatency, 0, 0) > g.lateLimit(m):
+	case m.late.lean(g.now, fadeLatency, g.late.lean(g.now, fadeClass, 0, 0), leanCount) > g.lateLimit(m):
 		// Writes have no other member to go to: a primary that is slow, not crowded, must not idle for it.
 		least := 1.0
+		if m.late.n.sum < fewAnswers {
+			least = leastLimit
+		}
 		if m.role == rolePrimary {
 			least = leastWrites
 		}
 		m.limit, m.grownAt = max(least, min(m.limit, float64(m.out+1))*limitCut), g.now
+	case m.limit < 1:
+		m.limit, m.grownAt = min(1, m.limit+leastLimit), g.now
 	case float64(m.out+2) > m.limit:
 		m.limit, m.grownAt = m.limit+1, g.now
 	}
 }
 
-// detourTo is how much longer the way to a zone takes than the way within this one: the difference between
-// the quickest answers of late, which crowded members hardly change. It is no member's fault and cuts no limit.
+// detourTo is how much longer the way to a zone takes than the way within this one, by the quickest answers
+// of late, which crowded members hardly change. It is no member's fault and cuts no limit.
 func (g *Gateway) detourTo(zone int) Nanos {
 	here, there := g.wayOf(g.site.Zone).least(g.now, fadeLatency), g.wayOf(zone).least(g.now, fadeLatency)
 	if here == 0 || there <= here {
@@ -525,11 +523,7 @@
 				g.suspects(m, "silent")
 			}
 		}
-		given := g.given.read(g.now, fadeLatency)
-		if given > shedOn && !g.shedding || given < 1 && g.shedding {
-			g.shedding = !g.shedding
-			g.log("giving up unserved txns: %v, %.0f of late", g.shedding, given)
-		}
+		g.noteShedding(g.given.read(g.now, fadeLatency), shedOn)
 		if g.now-g.sweptAt > fadeClass {
 			g.sweep()
 		}
@@ -631,11 +625,8 @@
 	c := &g.site.Classes[t.class]
 	again := c.Effect == "repeatable" || c.Effect == "by_key" && c.Group == "all"
 	if again || t.ranAt == 0 && t.out == 0 {
-		after := Nanos(0)
-		if g.site.Limits.RetryAfter {
-			after = min(c.Aim, g.site.Limits.MaxRetryAfter) // about how long what waits here takes to clear
-		}
-		return Decision{Kind: Decline, Txn: t.id, After: after}
+		// It should come back after about as long as what waits here takes to clear.
+		return Decision{Kind: Decline, Txn: t.id, After: min(c.Aim, g.site.Limits.MaxRetryAfter)}
 	}
 	return Decision{Kind: RollBack, Txn: t.id}
 }
@@ -668,6 +659,21 @@
 		}
 	}
 	slices.SortStableFunc(g.ranking, func(a, b int) int { return cmp.Compare(g.rowValue(b), g.rowValue(a)) })
+	g.wanted = 0
+	for _, row := range g.ranking {
+		if row < len(g.service) {
+			s := &g.service[row]
+			s.above, s.share = g.wanted, s.came.read(g.now, fadeClass)*g.expected(row)
+			g.wanted += s.share
+		}
+	}
+}
+
+// rankOf is the share of demand that is worth more than a txn, ties by chance: below a limit of one it goes
+// first.
+func (g *Gateway) rankOf(t *txn) float64 {
+	s := &g.service[t.class]
+	return (s.above + g.luck(t)*s.share) / max(1, g.wanted)
 }
 
 // dispatch sends waiting txns, group by group, those of most value for their service time first.
@@ -719,13 +725,11 @@
 func (g *Gateway) primaryOf(grp *group) *member {
 	var named *member
 	for _, m := range grp.members {
-		if m.barred {
-			continue
-		}
-		if m.role == rolePrimary {
+		switch {
+		case m.barred:
+		case m.role == rolePrimary:
 			return m
-		}
-		if m.named && m.role != roleReplica {
+		case m.named && m.role != roleReplica:
 			named = m
 		}
 	}
@@ -804,12 +808,9 @@
 	}
 	// A gateway that sends a primary one txn in many seconds judges it by what it saw of all primaries, and
 	// as hundreds of gateways see the same, each lets through no more than a share of its reads, by chance.
-	if t.luck == 0 {
-		t.luck = g.rng.unit()
-	}
 	all := g.primaries.lean(g.now, fadeClass, unseenLate*g.lateLimit(p), 1)
 	free := 1 - p.late.lean(g.now, fadeLatency, all, leanCount)/g.lateLimit(p)
-	if float64(p.out) < p.limit*free && t.luck < luckPart*free {
+	if float64(p.out) < p.limit*free && g.luck(t) < luckPart*free {
 		return p
 	}
 	return nil
@@ -857,8 +858,8 @@
 	return best
 }
 
-// passed is the position that every replica is known to have reached, after which a token need not hold
-// (step 2).
+// passed is the position that every replica is known to have reached, after which a token need not hold (step
+// 2).
 func (grp *group) passed() Nanos {
 	low := Nanos(1 << 62)
 	for _, m := range grp.members {
@@ -873,9 +874,9 @@
 // again. No read that a server does not check relies on it.
 func (g *Gateway) behind(m *member) Nanos { return max(0, m.lag-(g.now-m.lagAt)) }
 
-// silent is a replica that was not heard of for a span, to be asked for its position: proof comes from the very
-// reads that need it, and a gateway with a txn for a group once in many seconds has none else. Near ones come
-// first; a slow way or a cold member, for which what it turns away counts as work too, is left alone.
+// silent is a replica that was not heard of for a span, to be asked for its position: proof comes from the
+// very reads that need it, and a gateway that has a txn for a group once in many seconds has none else. Near
+// ones come first; a slow way or a cold member, for which what it turns away is work too, is left alone.
 func (g *Gateway) silent(members []*member, span Nanos) *member {
 	var best *member
 	for _, m := range members {
@@ -912,7 +913,8 @@
 	return Decision{}, false
 }
 
-// detour sends a write by a silent replica, whose miss runs nothing and tells its position, where no report does.
+// detour sends a write by a silent replica, whose miss runs nothing and tells its position, if no report
+// does.
 func (g *Gateway) detour(t *txn) *member {
 	if g.site.Family.WhenBehind != "none" || !g.site.Family.AnswersStamped || len(t.subs) > 0 ||
 		g.site.LoadReport.How != "none" || g.site.Limits.MaxAttempts < 4 {
@@ -946,18 +948,18 @@
 	if m.barred || g.now < m.restTo || m.refusals > 0 && m.out > 0 {
 		return false
 	}
-	if m.suspect && (m.unreached || !g.allSuspect(t.group)) {
+	// Where every member is suspect the fault is more likely here or on the way, and none is avoided.
+	well := func(o *member) bool { return !o.barred && !o.suspect }
+	if m.suspect && (m.unreached || slices.ContainsFunc(t.group.members, well)) {
 		safe := m.unreached || g.site.Classes[t.class].Effect == "repeatable"
 		return g.now >= m.trialAt && safe && t.out == 0 && g.now >= t.pauseTo && g.warmEnough(m)
 	}
+	if m.limit < 1 {
+		return m.out == 0 && g.rankOf(t) < m.limit && g.warmEnough(m)
+	}
 	return float64(m.out) < m.limit && g.warmEnough(m)
 }
 
-// allSuspect: when every member is suspect the fault is more likely here or on the way, so none is avoided.
-func (g *Gateway) allSuspect(grp *group) bool {
-	return !slices.ContainsFunc(grp.members, func(m *member) bool { return !m.barred && !m.suspect })
-}
-
 // warmEnough keeps a cold member from being pushed over. Its budget is the share that its age assures it can
 // do of the mean demand on a member: means add up, so the budgets of all gateways together are that share of
 // all demand, however uneven they are, with no warm peer needed. Each starts at a point drawn by chance below
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -450,10 +450,10 @@
 	//  10000 submit 2 to b
 	//  10020 submit 1 to a
 	//  10020 submit 2 to a
-	//  10030 log: connections scarce: true, 4 refused of late
 	//  10090 submit 2 to b
 	//  10110 submit 1 to c
 	//  10170 hang up on c
+	//  10170 log: connections scarce: true, 4 refused of late
 }
 
 // A member that refuses connections and does not answer a probe is down: back, it gets a cold member's budget, and
@@ -516,3 +516,46 @@
 	//  10260 submit 6 to a
 	//  10260 submit 7 to b
 }
+
+// Few answers of a member, all late: its limit falls below one, and what is worth most passes first.
+func Example_limitBelowOne() {
+	t := open().list("a")
+	for id := uint64(1); id <= 12; id += 2 {
+		t.at(t.clock+900).txn(id, 2, 0).txn(id+1, 0, 0).pull().at(t.clock + 280)
+		t.g.Ended(id, 0, Server{'a'}, Committed, Millis(280), 2, true, nil)
+		t.g.Ended(id+1, 0, Server{'a'}, Committed, Millis(280), 2, true, nil)
+	}
+	// Output:
+	// 10900 submit 2 to a
+	//  10900 submit 1 to a
+	//  12080 submit 4 to a
+	//  12080 submit 3 to a
+	//  13260 submit 6 to a
+	//  13260 submit 5 to a
+	//  14440 submit 8 to a
+	//  14440 submit 7 to a
+	//  15620 submit 10 to a
+	//  16800 decline 9
+	//  16800 submit 12 to a
+}
+
+// Worthless txns that end in a quick error anywhere tell nothing of a member that answers nothing else.
+func Example_errorsClearNothing() {
+	t := open().list("a b").txn(1, 2, 0).txn(2, 2, 0).pull().at(10020).end(2, 0, "b", Committed, 2, 10000)
+	t.end(1, 0, "a", Broken, 0, 0).pull().end(1, 1, "b", Committed, 2, 10010).at(10300)
+	t.txn(3, 2, 0).txn(9, 2, 0).pull().end(3, 0, "a", Failed, 2, 10290).end(9, 0, "a", Failed, 2, 10290)
+	for id := uint64(4); id < 7; id++ {
+		t.txn(id, 2, 0)
+	}
+	t.pull()
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 submit 2 to b
+	//  10020 submit 1 to b
+	//  10300 submit 3 to b
+	//  10300 submit 9 to a
+	//  10300 submit 9 to b
+	//  10300 submit 4 to b
+	//  10300 submit 5 to b
+	//  10300 submit 6 to b
+}
--- a/decide/site.go
+++ b/decide/site.go
@@ -40,7 +40,6 @@
 		MaxRetryAfter  Nanos `json:"maxRetryAfterMs"`
 		MayDuplicate   bool
 		Probes         bool
-		RetryAfter     bool
 	}
 	LoadReport struct {
 		Fields []string
--- a/decide/state.go
+++ b/decide/state.go
@@ -127,7 +127,7 @@
 	ranAt                        Nanos   // sending of the first submission that may have run
 	waitFrom                     Nanos   // step 4's wait began; 0 is not yet
 	passed                       bool    // step 5: the wait is over, only the primary will do
-	luck                         float64 // drawn once, so that looking again does not raise its chance
+	luck                         float64 // see luck
 	pauseTo                      Nanos
 }
 
@@ -137,6 +137,7 @@
 	took                     mean
 	came, left, stay, intime decaying
 	usual                    mode
+	above, share             float64 // of the demand: what is worth more, and its own
 }
 
 // mode follows the most frequent value of a series, up to a tolerance, as long as it makes up a third of it.
@@ -204,6 +205,7 @@
 	rankAt    Nanos
 	queued    int
 	shedding  bool
+	wanted    float64  // service time that came of late
 	poorest   int      // the class served worst of late
 	asked     float64  // worth that came of late
 	given     decaying // txns given up unserved
@@ -215,7 +217,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{site: s, rng: newPCG(seed), base: baseFirst, askSpan: askFirst,
+	g := &Gateway{site: s, rng: newPCG(seed), base: baseFirst, askSpan: retryFirst,
 		members: map[Server]*member{}, txns: map[uint64]*txn{}, listed: map[Server]bool{},
 		unserved: map[unserved]Nanos{},
 		service:  make([]service, len(s.Classes))}
@@ -448,3 +450,28 @@
 	}
 	return first, false
 }
+
+// luck is a txn's own chance, drawn once, so that looking at it again does not raise it.
+func (g *Gateway) luck(t *txn) float64 {
+	if t.luck == 0 {
+		t.luck = g.rng.unit()
+	}
+	return t.luck
+}
+
+// noteShedding logs when many txns are given up unserved, and when none are any more.
+func (g *Gateway) noteShedding(given, many float64) {
+	if given > many && !g.shedding || given < 1 && g.shedding {
+		g.shedding = !g.shedding
+		g.log("giving up unserved txns: %v, %.0f of late", g.shedding, given)
+	}
+}
+
+// noteScarce logs when connections become scarce, and when they no longer are.
+func (g *Gateway) noteScarce(refused, many float64) bool {
+	if scarce := refused > many; scarce != g.sparing {
+		g.sparing = scarce
+		g.log("connections scarce: %v, %.0f refused of late", scarce, refused)
+	}
+	return g.sparing
+}
