A lost member has a cold member's budget from the loss on, not from its first answer

Broken and timed-out connections and refused probes are one state now; back within a second, or while connections are scarce, it is what it was.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -142,8 +142,7 @@
 		if elapsed < g.site.Limits.ConnectTimeout/2 {
 			g.refused(m)
 		} else {
-			m.unreached = true
-			g.suspects(m, "no connection")
+			g.lost(m, "no connection")
 		}
 	case TimedOut:
 		// Only a wait that is long for this member tells of it; a client's short patience does not.
@@ -151,8 +150,7 @@
 			g.suspects(m, "time-out without an answer since")
 		}
 	case Broken:
-		m.unreached = true
-		g.suspects(m, "connection broken")
+		g.lost(m, "connection broken")
 	}
 	ran := r == Failed || r == TimedOut || r == Broken || r == Cancelled
 	if ran && (t.ranAt == 0 || s.at < t.ranAt) {
@@ -181,10 +179,8 @@
 	if m.refusals > 0 && m.checkedAt > 0 {
 		if m.checkedAt = 0; up {
 			g.crowds.add(g.now, fadeClass, 1)
-		} else if !m.unreached {
-			m.unreached = true
-			g.starts(m, g.now)
-			g.log("member %v refuses connections and probes: cold when it is back", m.id)
+		} else {
+			g.lost(m, "refuses connections and probes")
 		}
 	}
 }
@@ -196,6 +192,7 @@
 	if !known {
 		m.limit = limitStart
 	}
+	m.listedAt = start
 	if start > m.startedAt {
 		m.suspect = false
 		g.starts(m, start)
@@ -315,23 +312,20 @@
 // answered notes a sign of life: any answer clears suspicion, whatever raised it.
 func (g *Gateway) answered(m *member) {
 	m.quietSince = g.now
-	down := m.refusals > 0 || m.unreached
-	if m.refusals > 0 && g.now-m.refusedAt < longestQuiet {
-		// It refused and answered within less than any restart takes: a crowd at its door, not a new process.
+	// Back within less than any restart takes: a crowd at its door or a fault of the way, not a new process.
+	soon := g.now-m.lostAt < longestQuiet
+	if m.refusals > 0 && soon {
 		g.crowds.add(g.now, fadeClass, 1)
-		down = false
+	}
+	crowd := g.crowds.read(g.now, fadeClass) >= 1
+	if m.unreached && (soon || crowd) {
+		m.startedAt = m.listedAt
+	} else if m.refusals > 0 && !soon && !crowd && !m.unreached {
+		g.starts(m, g.now)
 	}
 	if m.suspect && g.now-m.suspectAt > longestQuiet {
 		m.limit = 2
-		g.log("member %v answers again after %d ms", m.id, (g.now-m.suspectAt)/ms)
-	} else if m.refusals == 0 {
-		down = false
-	}
-	if down && g.crowds.read(g.now, fadeClass) < 1 {
-		// It may have started anew, and the list tells that seconds late, if at all: until then it was sent
-		// all at once what pushed it over.
-		g.starts(m, g.now)
-		g.log("member %v taken for cold after refusing connections or losing them", m.id)
+		g.log("member %v answers again after %d ms, cold: %v", m.id, (g.now-m.suspectAt)/ms, m.startedAt > m.listedAt)
 	}
 	m.suspect, m.trial, m.unreached, m.refusals = false, 0, false, 0
 	if g.scarce() {
@@ -340,26 +334,35 @@
 }
 
 // refused takes a connection that was turned down at once: the process is down or takes no more connections,
-// and a probe, which needs none, tells which. One that is down comes back cold, and what all gateways held
-// back must not meet it at once: it has a cold member's budget from now on.
+// and a probe, which needs none, tells which.
 func (g *Gateway) refused(m *member) {
 	g.refusals.add(g.now, fadeClass, 1)
-	if m.refusals++; m.refusals == 1 {
-		m.refusedAt = g.now
+	if m.refusals++; m.refusals == 1 && !m.unreached {
+		m.lostAt = g.now
 	}
 	m.restTo = g.now + Nanos((0.5+g.rng.unit())*float64(refusedRest))
-	if g.crowds.read(g.now, fadeClass) < 1 {
-		if m.unreached {
-			m.startedAt = g.now
-		}
-		if g.site.Limits.Probes && g.now-m.checkedAt > longestQuiet {
-			m.checkedAt, g.checks = g.now, append(g.checks, m.id)
-		}
+	crowd := g.crowds.read(g.now, fadeClass) >= 1
+	if g.site.Limits.Probes && !crowd && g.now-m.checkedAt > longestQuiet {
+		m.checkedAt, g.checks = g.now, append(g.checks, m.id)
+	}
+	if m.unreached && !crowd || m.refusals >= refusedCount && g.now-m.lostAt > longestQuiet {
+		g.lost(m, "connections refused")
 	}
-	if m.refusals >= refusedCount && g.now-m.refusedAt > longestQuiet {
+}
+
+// lost takes a member whose process or machine is gone, by all that is known. It comes back cold, and the list
+// tells that seconds late, if at all: what all gateways held back meanwhile must not meet it at once, so it has
+// a cold member's budget from now on.
+func (g *Gateway) lost(m *member, why string) {
+	if !m.unreached {
+		if m.refusals == 0 {
+			m.lostAt = g.now
+		}
 		m.unreached = true
-		g.suspects(m, "connections refused")
+		g.starts(m, g.now)
 	}
+	m.startedAt = g.now
+	g.suspects(m, why)
 }
 
 // scarce: so many are refused that idle connections are better closed, for other gateways to open theirs.
@@ -849,7 +852,7 @@
 			best = m
 		}
 	}
-	if best == nil && p != nil && p.suspect && !p.barred && g.now > p.trialAt+trialLast {
+	if best == nil && p != nil && p.suspect && !p.barred && g.now > p.trialAt+trialLast && g.warmEnough(p) {
 		best = p // no read came that could have been its trial
 	}
 	if best != nil {
--- a/decide/state.go
+++ b/decide/state.go
@@ -85,7 +85,8 @@
 	carried                   decaying // service time sent
 	refusals                  int      // of connections, since its last answer
 	checkedAt                 Nanos    // when a probe went out to tell why; 0 once it is back
-	refusedAt, restTo         Nanos    // the first of them; when it may be tried again after the last
+	lostAt, restTo            Nanos    // the first of them, or of lost connections; when it may be tried again
+	listedAt                  Nanos    // its start, as the list tells it
 	credit                    float64  // service time that a cold member may still be sent
 	creditAt                  Nanos
 	quietSince, grownAt       Nanos
