Silent members have a cold budget; waits that ended without an answer count for silence

Cause: a gateway with a txn for a member every few seconds saw its txns end with their clients' patience and never had enough in flight to call it silent; what was silent for seconds may come back cold. Harm: a member that only stood still for over a second comes back slowly.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -144,10 +144,13 @@
 		} else {
 			g.lost(m, "no connection")
 		}
+	case Cancelled:
+		m.unanswered += g.now - max(s.at, m.quietSince)
 	case TimedOut:
+		m.unanswered += g.now - max(s.at, m.quietSince)
 		// Only a wait that is long for this member tells of it; a client's short patience does not.
 		if m.quietSince <= s.at && float64(g.now-s.at) > silentLeast*g.meanLatency(m) {
-			g.suspects(m, "time-out without an answer since")
+			g.lost(m, "time-out without an answer since")
 		}
 	case Broken:
 		g.lost(m, "connection broken")
@@ -327,7 +330,7 @@
 		m.limit = 2
 		g.log("member %v answers again after %d ms, cold: %v", m.id, (g.now-m.suspectAt)/ms, m.startedAt > m.listedAt)
 	}
-	m.suspect, m.trial, m.unreached, m.refusals = false, 0, false, 0
+	m.suspect, m.trial, m.unreached, m.refusals, m.unanswered = false, 0, false, 0, 0
 	if g.scarce() {
 		g.hangUps = append(g.hangUps, m.id)
 	}
@@ -520,10 +523,11 @@
 		g.busy = slices.DeleteFunc(g.busy, func(m *member) bool { m.busy = m.out > 0; return !m.busy })
 		for _, m := range g.busy {
 			quiet, mean := float64(g.now-m.quietSince), g.meanLatency(m)
-			// Work that was sent after the last answer has waited for less than the quiet lasts.
-			waited := min(quiet*float64(m.out), float64(g.now*Nanos(m.out)-m.sentSum))
-			if quiet > silentLeast*mean && waited > silentMeans*mean {
-				g.suspects(m, "silent")
+			// Work that was sent after the last answer has waited for less than the quiet lasts. What ended
+			// without an answer counts too: a gateway with a txn now and then has little else to go by.
+			waited := min(quiet*float64(m.out), float64(g.now*Nanos(m.out)-m.sentSum)) + float64(m.unanswered)
+			if quiet > silentLeast*mean && waited > silentMeans*mean && !m.suspect {
+				g.lost(m, "silent")
 			}
 		}
 		g.noteShedding(g.given.read(g.now, fadeLatency), shedOn)
--- a/decide/state.go
+++ b/decide/state.go
@@ -90,7 +90,8 @@
 	credit                    float64  // service time that a cold member may still be sent
 	creditAt                  Nanos
 	quietSince, grownAt       Nanos
-	suspect, unreached        bool // unreached: no connection, or a broken one, since its last answer
+	unanswered                Nanos // waits of submissions that ended without an answer since the last one
+	suspect, unreached        bool  // unreached: no connection, or a broken one, since its last answer
 	suspectAt, trialAt, trial Nanos
 }
 
