--- a/decide/decide.go
+++ b/decide/decide.go
@@ -142,6 +142,7 @@
 		if elapsed < g.site.Limits.ConnectTimeout/2 {
 			g.refused(m)
 		} else {
+			m.unreached = true
 			g.lost(m, "no connection")
 		}
 	case Cancelled:
@@ -153,6 +154,7 @@
 			g.lost(m, "time-out without an answer since")
 		}
 	case Broken:
+		m.unreached = true
 		g.lost(m, "connection broken")
 	}
 	ran := r == Failed || r == TimedOut || r == Broken || r == Cancelled
@@ -183,6 +185,7 @@
 		if m.checkedAt = 0; up {
 			g.crowds.add(g.now, fadeClass, 1)
 		} else {
+			m.unreached = true
 			g.lost(m, "refuses connections and probes")
 		}
 	}
@@ -321,14 +324,14 @@
 		g.crowds.add(g.now, fadeClass, 1)
 	}
 	crowd := g.crowds.read(g.now, fadeClass) >= 1
-	if m.unreached && (soon || crowd) {
+	if m.suspect && (soon || crowd) {
 		m.startedAt = m.listedAt
-	} else if m.refusals > 0 && !soon && !crowd && !m.unreached {
+	} else if m.refusals > 0 && !soon && !crowd && !m.suspect {
 		g.starts(m, g.now)
 	}
-	if m.suspect && g.now-m.suspectAt > longestQuiet {
+	if m.suspect && !soon {
 		m.limit = 2
-		g.log("member %v answers again after %d ms, cold: %v", m.id, (g.now-m.suspectAt)/ms, m.startedAt > m.listedAt)
+		g.log("member %v answers again after %d ms, cold: %v", m.id, (g.now-m.lostAt)/ms, m.startedAt > m.listedAt)
 	}
 	m.suspect, m.trial, m.unreached, m.refusals, m.unanswered = false, 0, false, 0, 0
 	if g.scarce() {
@@ -340,7 +343,7 @@
 // and a probe, which needs none, tells which.
 func (g *Gateway) refused(m *member) {
 	g.refusals.add(g.now, fadeClass, 1)
-	if m.refusals++; m.refusals == 1 && !m.unreached {
+	if m.refusals++; m.refusals == 1 && !m.suspect {
 		m.lostAt = g.now
 	}
 	m.restTo = g.now + Nanos((0.5+g.rng.unit())*float64(refusedRest))
@@ -348,40 +351,29 @@
 	if g.site.Limits.Probes && !crowd && g.now-m.checkedAt > longestQuiet {
 		m.checkedAt, g.checks = g.now, append(g.checks, m.id)
 	}
-	if m.unreached && !crowd || m.refusals >= refusedCount && g.now-m.lostAt > longestQuiet {
+	if m.suspect && !crowd || m.refusals >= refusedCount && g.now-m.lostAt > longestQuiet {
 		g.lost(m, "connections refused")
 	}
 }
 
-// lost takes a member whose process or machine is gone, by all that is known. It comes back cold, and the list
-// tells that seconds late, if at all: what all gateways held back meanwhile must not meet it at once, so it has
-// a cold member's budget from now on.
+// lost takes a member out of the ordinary choice until it answers: its process, its machine or the way to it is
+// gone. It may come back cold, and the list tells that seconds late, if at all: what all gateways held back must
+// not meet it at once, so its trials have a cold member's budget.
 func (g *Gateway) lost(m *member, why string) {
-	if !m.unreached {
+	if !m.suspect {
 		if m.refusals == 0 {
 			m.lostAt = g.now
 		}
-		m.unreached = true
+		m.suspect, m.trial, m.trialAt = true, retryFirst, g.now+retryFirst
 		g.starts(m, g.now)
+		g.log("member %v suspect: %s, %d in flight, quiet for %d ms", m.id, why, m.out, (g.now-m.quietSince)/ms)
 	}
 	m.startedAt = g.now
-	g.suspects(m, why)
 }
 
 // scarce: so many are refused that idle connections are better closed, for other gateways to open theirs.
 func (g *Gateway) scarce() bool { return g.noteScarce(g.refusals.read(g.now, fadeClass), scarceCount) }
 
-// suspects takes a member out of the ordinary choice until it answers; it keeps getting trials.
-func (g *Gateway) suspects(m *member, why string) {
-	if m.suspect {
-		return
-	}
-	m.suspect, m.suspectAt, m.trial = true, g.now, retryFirst
-	m.trialAt = g.now + m.trial
-	quiet := (g.now - m.quietSince) / Millisecond
-	g.log("member %v suspect: %s, %d in flight, quiet for %d ms", m.id, why, m.out, quiet)
-}
-
 // measured takes a committed submission's latency and moves the member's limit: one up, or down by a share.
 func (g *Gateway) measured(m *member, t *txn, elapsed Nanos) {
 	g.wayOf(m.zone).add(g.now, fadeLatency, elapsed)
@@ -955,9 +947,10 @@
 	if m.barred || g.now < m.restTo || m.refusals > 0 && m.out > 0 {
 		return false
 	}
-	// Where every member is suspect the fault is more likely here or on the way, and none is avoided.
-	well := func(o *member) bool { return !o.barred && !o.suspect }
-	if m.suspect && (m.unreached || slices.ContainsFunc(t.group.members, well)) {
+	if m.suspect && !m.unreached && !g.anyWell() {
+		return float64(m.out) < m.limit // the fault is more likely here or on the way, and none is avoided
+	}
+	if m.suspect {
 		safe := m.unreached || g.site.Classes[t.class].Effect == "repeatable"
 		return g.now >= m.trialAt && safe && t.out == 0 && g.now >= t.pauseTo && g.warmEnough(m)
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -191,7 +191,7 @@
 	//  10000 submit 2 to b
 	//  10500 decline 1
 	//  10500 decline 2
-	//  10500 submit 3 to a
+	//  10500 submit 3 to b
 	//  10000 submit 4 to a
 	//  10000 submit 5 to b
 	//  10250 decline 4
@@ -471,8 +471,8 @@
 	// Output:
 	// 10000 submit 1 to a
 	//  10010 probe a
-	//  10020 log: member [97 0 0 0 0 0] refuses connections and probes: cold when it is back
-	//  10100 submit 1 to a
+	//  10020 submit 1 to b
+	//  10020 log: member [97 0 0 0 0 0] suspect: refuses connections and probes, 0 in flight, quiet for 10 ms
 	//  10000 submit 1 to a
 	//  10010 probe a
 	//  10100 submit 1 to a
--- a/decide/state.go
+++ b/decide/state.go
@@ -65,34 +65,34 @@
 
 // member is what this gateway knows of one database server.
 type member struct {
-	id                        Server
-	zone, kind                int
-	group                     *group
-	ready, drained, barred    bool // barred: told that it drains or is gone
-	startedAt                 Nanos
-	position, lag             Nanos // proven position; how far behind it was when last heard of
-	lagAt, heardAt            Nanos // when the lag and the position were told
-	lackAt, askedAt           Nanos // when a read last passed it over for want of proof; when it was last asked
-	role                      int
-	roleAt                    Nanos // when an answer told the role last
-	named                     bool  // the list says that it is the primary
-	out                       int   // submissions in flight from here
-	busy                      bool  // in the gateway's list of those with something in flight
-	lacking                   bool  // in the gateway's list of those that were passed over
-	sentSum                   Nanos // sum of the times at which they were sent
-	limit                     float64
-	elapsed, slow, late       mean     // latency of answers: as it is; in service times; in SLA times
-	carried                   decaying // service time sent
-	refusals                  int      // of connections, since its last answer
-	checkedAt                 Nanos    // when a probe went out to tell why; 0 once it is back
-	lostAt, restTo            Nanos    // the first of them, or of lost connections; when it may be tried again
-	listedAt                  Nanos    // its start, as the list tells it
-	credit                    float64  // service time that a cold member may still be sent
-	creditAt                  Nanos
-	quietSince, grownAt       Nanos
-	unanswered                Nanos // waits of submissions that ended without an answer since the last one
-	suspect, unreached        bool  // unreached: no connection, or a broken one, since its last answer
-	suspectAt, trialAt, trial Nanos
+	id                     Server
+	zone, kind             int
+	group                  *group
+	ready, drained, barred bool // barred: told that it drains or is gone
+	startedAt              Nanos
+	position, lag          Nanos // proven position; how far behind it was when last heard of
+	lagAt, heardAt         Nanos // when the lag and the position were told
+	lackAt, askedAt        Nanos // when a read last passed it over for want of proof; when it was last asked
+	role                   int
+	roleAt                 Nanos // when an answer told the role last
+	named                  bool  // the list says that it is the primary
+	out                    int   // submissions in flight from here
+	busy                   bool  // in the gateway's list of those with something in flight
+	lacking                bool  // in the gateway's list of those that were passed over
+	sentSum                Nanos // sum of the times at which they were sent
+	limit                  float64
+	elapsed, slow, late    mean     // latency of answers: as it is; in service times; in SLA times
+	carried                decaying // service time sent
+	refusals               int      // of connections, since its last answer
+	checkedAt              Nanos    // when a probe went out to tell why; 0 once it is back
+	lostAt, restTo         Nanos    // the first of them, or of lost connections; when it may be tried again
+	listedAt               Nanos    // its start, as the list tells it
+	credit                 float64  // service time that a cold member may still be sent
+	creditAt               Nanos
+	quietSince, grownAt    Nanos
+	unanswered             Nanos // waits of submissions that ended without an answer since the last one
+	suspect, unreached     bool  // unreached: no connection, or a broken one, since its last answer
+	trialAt, trial         Nanos
 }
 
 // group is one primary, its replicas and the txns that wait for them.
@@ -477,3 +477,10 @@
 	}
 	return g.sparing
 }
+
+// anyWell tells whether there is a member that is not suspect.
+func (g *Gateway) anyWell() bool {
+	return slices.ContainsFunc(g.groups, func(grp *group) bool {
+		return slices.ContainsFunc(grp.members, func(m *member) bool { return !m.barred && !m.suspect })
+	})
+}
