A group silent as a whole is lost as one; a txn with no time left is answered in its round

Waits without an answer are now added up over a group, and more than half of its members waiting for twelve means in all, with no answer of any, lose it as a whole. A single time-out is one such wait and no reason by itself any more. Harm: a group that only stands still for over a second is ramped up again.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -97,6 +97,7 @@
 	if t.first == g.now {
 		g.demand.add(g.now, fadeClass, g.expected(class)) // repeats do not raise what members can do
 	}
+	g.reviewAt = min(g.reviewAt, t.expiry-2*g.site.Tick) // one with no time left is answered at once
 	g.txns[id], g.open = t, append(g.open, t)
 	g.queue(t)
 	return nil
@@ -110,7 +111,7 @@
 		return
 	}
 	s := &t.subs[no]
-	t.closed(s)
+	g.closed(t, s, r)
 	g.heardNote(m, note)
 	g.heardReport(m, report)
 	switch r {
@@ -134,8 +135,7 @@
 		t.passed = true
 		t.pauseTo = g.now + t.budget/holdPart
 	case Full:
-		m.limit = max(1, min(m.limit, float64(m.out+1))*limitCut)
-		m.grownAt = g.now
+		m.limit, m.grownAt = max(1, min(m.limit, float64(m.out+1))*limitCut), g.now
 		t.pauseTo = g.now + pulse
 	case Unreachable:
 		t.pauseTo = g.now + pulse
@@ -145,14 +145,6 @@
 			m.unreached = true
 			g.lost(m, "no connection")
 		}
-	case Cancelled:
-		m.unanswered += g.now - max(s.at, m.quietSince)
-	case TimedOut:
-		m.unanswered += g.now - max(s.at, m.quietSince)
-		// Only a wait that is long for this member tells of it; a client's short patience does not.
-		if m.quietSince <= s.at && float64(g.now-s.at) > silentLeast*g.meanLatency(m) {
-			g.lost(m, "time-out without an answer since")
-		}
 	case Broken:
 		m.unreached = true
 		g.lost(m, "connection broken")
@@ -302,7 +294,6 @@
 		if at := Nanos(note>>2) * Millisecond; at > 0 && t.session != 0 && g.site.Family.WriteMarks == "kept" {
 			t.group.tokens[t.session] = max(t.group.tokens[t.session], g.site.Family.Zero+at)
 		}
-		return
 	case "lag_bound":
 		if g.site.Family.WhenBehind != "none" {
 			m.reached(s.at - g.site.Family.Bound[t.class])
@@ -317,7 +308,7 @@
 
 // answered notes a sign of life: any answer clears suspicion, whatever raised it.
 func (g *Gateway) answered(m *member) {
-	m.quietSince = g.now
+	m.quietSince, m.group.answeredAt = g.now, g.now
 	// Back within less than any restart takes: a crowd at its door or a fault of the way, not a new process.
 	soon := g.now-m.lostAt < longestQuiet
 	if m.refusals > 0 && soon {
@@ -356,9 +347,9 @@
 	}
 }
 
-// lost takes a member out of the ordinary choice until it answers: its process, its machine or the way to it is
-// gone. It may come back cold, and the list tells that seconds late, if at all: what all gateways held back must
-// not meet it at once, so its trials have a cold member's budget.
+// lost takes a member out of the ordinary choice until it answers: its process, its machine or the way to it
+// is gone. It may come back cold, and the list tells that seconds late, if at all: what all gateways held
+// back must not meet it at once, so its trials have a cold member's budget.
 func (g *Gateway) lost(m *member, why string) {
 	if !m.suspect {
 		if m.refusals == 0 {
@@ -514,18 +505,25 @@
 		}
 		g.busy = slices.DeleteFunc(g.busy, func(m *member) bool { m.busy = m.out > 0; return !m.busy })
 		for _, m := range g.busy {
-			quiet, mean := float64(g.now-m.quietSince), g.meanLatency(m)
-			// Work that was sent after the last answer has waited for less than the quiet lasts. What ended
-			// without an answer counts too: a gateway with a txn now and then has little else to go by.
-			waited := min(quiet*float64(m.out), float64(g.now*Nanos(m.out)-m.sentSum)) + float64(m.unanswered)
-			if quiet > silentLeast*mean && waited > silentMeans*mean && !m.suspect {
+			silent, all := 0, 0.0
+			for _, o := range m.group.members {
+				if waits := g.waits(o); waits > 1 {
+					silent, all = silent+1, all+waits
+				}
+			}
+			least := Nanos(silentLeast * g.meanLatency(m))
+			if !m.suspect && g.now-m.quietSince > least && g.waits(m) > silentMeans {
 				g.lost(m, "silent")
 			}
+			// A group that is silent as a whole, as after a restart of all, shows sooner than any one of it.
+			if 2*silent > len(m.group.members) && all > silentMeans && g.now-m.group.answeredAt > least {
+				for _, o := range m.group.members {
+					g.lost(o, "silent with its group")
+				}
+			}
 		}
 		g.noteShedding(g.given.read(g.now, fadeLatency), shedOn)
-		if g.now-g.sweptAt > fadeClass {
-			g.sweep()
-		}
+		g.sweep(fadeClass)
 		g.open = slices.DeleteFunc(g.open, func(t *txn) bool { return t.done && t.out == 0 })
 	}
 	for g.cursor < len(g.open) {
@@ -539,10 +537,18 @@
 	return Decision{}, false
 }
 
+// waits is how many mean latencies a member's work has waited in all since its last answer. What ended
+// without one counts too: a gateway with a txn now and then has little else to go by.
+func (g *Gateway) waits(m *member) float64 {
+	// Work that was sent after the last answer has waited for less than the quiet lasts.
+	waited := min((g.now-m.quietSince)*Nanos(m.out), g.now*Nanos(m.out)-m.sentSum) + m.unanswered
+	return float64(waited) / g.meanLatency(m)
+}
+
+// reviewTxn calls off copies whose client has its answer, and answers at once what can no longer be in time.
 func (g *Gateway) reviewTxn(t *txn) (Decision, bool) {
 	c := &g.site.Classes[t.class]
 	if t.done {
-		// The loser of two copies, or work whose client has its answer, is called off.
 		for i := range t.subs {
 			if s := &t.subs[i]; !s.over && !s.cancelled && g.site.Limits.Cancelling && c.Effect == "repeatable" {
 				return t.cancel(i), true
@@ -559,7 +565,6 @@
 	} else if t.out == 0 {
 		last = min(last, t.expiry-need)
 	}
-	// A txn that can no longer be served in time gets its answer at once.
 	if g.now >= last || (t.out == 0 && !g.maySubmit(t)) {
 		return g.giveUp(t), true
 	}
@@ -767,17 +772,14 @@
 	}
 	if checked && !t.passed {
 		// Step 4 where replicas check: their hold is the wait, if one can make it within that.
-		likely := func(m *member) bool { return m != p && g.now-g.behind(m)+g.site.Family.Hold >= floor }
-		if m = g.pick(t, likely); m != nil {
+		m = g.pick(t, func(m *member) bool { return m != p && g.now-g.behind(m)+g.site.Family.Hold >= floor })
+		if m != nil {
 			return m
 		}
 	}
 	if !checked && need == "causal" && !t.passed {
 		// Step 4 where they do not: wait for word of some replica.
-		if t.waitFrom == 0 {
-			t.waitFrom = g.now
-		}
-		if g.now < min(t.waitFrom+waitSpan, t.aim-Nanos(2*g.expected(t.class))) {
+		if g.now < min(t.arrived+waitSpan, t.aim-Nanos(2*g.expected(t.class))) {
 			return nil
 		}
 		t.passed = true
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -21,14 +21,15 @@
 	t := open("await", "none").list("a* b c")
 	t.txn(1, 0, 50).run(10150) // a is only named primary, which must do for a read
 	t.txn(2, 3, 0).pull().end(2, 0, "b", Missed, 2, 9000).pull().end(2, 1, "a", Committed, 1, 10150).pull()
-	t.at(10400).txn(3, 0, 50).pull().at(10450).txn(4, 2, 0).pull().end(4, 0, "b", Committed, 2, 10440).pull()
+	t.end(1, 0, "a", Committed, 1, 10200).at(10400).txn(3, 0, 50).pull()
+	t.at(10450).txn(4, 2, 0).pull().end(4, 0, "c", Committed, 2, 10440).pull()
 	t.at(10500).txn(5, 0, 40).run(10650)
 	// Output:
 	// 10150 submit 2 to b
 	//  10150 submit 2 to a
 	//  10150 submit 1 to a
 	//  10450 submit 4 to c
-	//  10550 submit 3 to a
+	//  10450 submit 3 to c
 	//  10650 submit 5 to a
 }
 
@@ -152,15 +153,15 @@
 	//  10000 submit 6 to b
 	//  10000 submit 7 to a
 	//  10000 submit 8 to b
+	//  10220 cancel 1/0
+	//  10220 cancel 3/0
 	//  10220 cancel 4/0
+	//  10220 cancel 5/0
 	//  10220 cancel 6/0
+	//  10220 cancel 7/0
 	//  10220 cancel 8/0
 	//  10220 log: member [98 0 0 0 0 0] suspect: silent, 3 in flight, quiet for 200 ms
-	//  10310 cancel 1/0
-	//  10310 cancel 3/0
-	//  10310 cancel 5/0
-	//  10310 cancel 7/0
-	//  10310 log: member [97 0 0 0 0 0] suspect: silent, 4 in flight, quiet for 310 ms
+	//  10220 log: member [97 0 0 0 0 0] suspect: silent with its group, 4 in flight, quiet for 220 ms
 }
 
 // A suspect primary gets reads as trials: without them nothing would show that it answers again.
@@ -191,7 +192,7 @@
 	//  10000 submit 2 to b
 	//  10500 decline 1
 	//  10500 decline 2
-	//  10500 submit 3 to b
+	//  10500 submit 3 to a
 	//  10000 submit 4 to a
 	//  10000 submit 5 to b
 	//  10250 decline 4
@@ -559,3 +560,12 @@
 	//  10300 submit 5 to b
 	//  10300 submit 6 to b
 }
+
+// A txn that comes with no time left gets its answer in the same round, though open txns were looked at just now.
+func Example_noTimeLeft() {
+	t := open("await", "none").list("a b").txn(1, 1, 0).pull().at(10002)
+	t.g.Arrived(2, 0, 0, 7, 0, 0, 0, Millis(50))
+	t.pull()
+	// Output:
+	// 10002 decline 2
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -97,13 +97,14 @@
 
 // group is one primary, its replicas and the txns that wait for them.
 type group struct {
-	id      int
-	members []*member
-	waiting [][]*txn         // by row: for each txn type those in time, those that need no proof, the late
-	queued  int              // entries in those rows, those of ended txns that are not pruned yet too
-	scout   *txn             // the write that is trying members in turn
-	primary *member          // as last logged
-	tokens  map[uint64]Nanos // last commits of sessions, where they are kept here
+	id         int
+	members    []*member
+	waiting    [][]*txn // by row: for each txn type those in time, those that need no proof, the late
+	queued     int      // entries in those rows, those of ended txns that are not pruned yet too
+	scout      *txn     // the write that is trying members in turn
+	primary    *member  // as last logged
+	answeredAt Nanos
+	tokens     map[uint64]Nanos // last commits of sessions, where they are kept here
 }
 
 // submission is one try of a txn at a member.
@@ -127,7 +128,6 @@
 	out                          int
 	waiting, done                bool
 	ranAt                        Nanos   // sending of the first submission that may have run
-	waitFrom                     Nanos   // step 4's wait began; 0 is not yet
 	passed                       bool    // step 5: the wait is over, only the primary will do
 	luck                         float64 // see luck
 	pauseTo                      Nanos
@@ -328,11 +328,14 @@
 	m.sentSum += g.now
 }
 
-func (t *txn) closed(s *submission) {
+func (g *Gateway) closed(t *txn, s *submission, r Result) {
 	s.over = true
 	t.out--
 	s.to.out--
 	s.to.sentSum -= s.at
+	if r == Cancelled || r == TimedOut {
+		s.to.unanswered += g.now - max(s.at, s.to.quietSince)
+	}
 }
 
 // forget drops a txn whose answer is given once its submissions are over.
@@ -433,7 +436,10 @@
 }
 
 // sweep drops tokens that every replica has passed and sessions whose client's time is over.
-func (g *Gateway) sweep() {
+func (g *Gateway) sweep(span Nanos) {
+	if g.now-g.sweptAt <= span {
+		return
+	}
 	g.sweptAt = g.now
 	for _, grp := range g.groups {
 		low := grp.passed()
