A member that turned a txn away as full rests, and its limit is cut like a late one's

It now rests for about 100 ms, and its limit may fall below one. Harm: a queue that was full for a moment only is met 100 ms later.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 )
 
@@ -135,10 +136,9 @@
 		t.passed = true
 		t.pauseTo = g.now + t.budget/holdPart
 	case Full:
-		m.limit, m.grownAt = max(1, min(m.limit, float64(m.out+1))*limitCut), g.now
-		t.pauseTo = g.now + pulse
+		g.cut(m)
+		m.restTo = g.now + Nanos((0.5+g.rng.unit())*float64(refusedRest))
 	case Unreachable:
-		t.pauseTo = g.now + pulse
 		if elapsed < g.site.Limits.ConnectTimeout/2 {
 			g.refused(m)
 		} else {
@@ -383,20 +383,22 @@
 	}
 	switch {
 	case m.late.lean(g.now, fadeLatency, g.late.lean(g.now, fadeClass, 0, 0), leanCount) > g.lateLimit(m):
-		// Writes have no other member to go to: a primary that is slow, not crowded, must not idle for it.
-		least := 1.0
-		if m.late.n.sum < fewAnswers {
-			least = leastLimit
-		}
-		if m.role == rolePrimary {
-			least = leastWrites
-		}
-		m.limit, m.grownAt = max(least, min(m.limit, float64(m.out+1))*limitCut), g.now
-	case m.limit < 1:
-		m.limit, m.grownAt = min(1, m.limit+leastLimit), g.now
-	case float64(m.out+2) > m.limit:
-		m.limit, m.grownAt = m.limit+1, g.now
+		g.cut(m)
+	case float64(m.out+2) > m.limit: // it grows by one, below one in steps
+		m.limit, m.grownAt = m.limit+max(leastLimit, math.Floor(min(1, m.limit))), g.now
+	}
+}
+
+// cut takes a share off a member's limit, to below one where this gateway matters little to it. Writes have no
+// other member to go to: a primary that is slow, not crowded, must not idle for it.
+func (g *Gateway) cut(m *member) {
+	least := 1.0
+	if m.role == rolePrimary {
+		least = leastWrites
+	} else if m.late.n.sum < fewAnswers {
+		least = leastLimit
 	}
+	m.limit, m.grownAt = max(least, min(m.limit, float64(m.out+1))*limitCut), g.now
 }
 
 // detourTo is how much longer the way to a zone takes than the way within this one, by the quickest answers
@@ -788,8 +790,7 @@
 	if m = g.spare(t, p); m != nil || p != nil && !p.suspect && (p.role == rolePrimary || p.named || checked) {
 		return m
 	}
-	// No primary to fall back on: where replicas check, they are tried again after a pause.
-	if checked && g.now >= t.pauseTo {
+	if checked && g.now >= t.pauseTo { // with no primary, replicas that check are tried again after a pause
 		t.passed = false
 	}
 	return nil
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -83,7 +83,7 @@
 	//  10000 submit 2 to a
 	//  10000 submit 3 to a
 	//  10100 roll back 1
-	//  10100 submit 2 to a
+	//  10190 submit 2 to a
 	//  10990 roll back 2
 	//  10990 roll back 3
 }
