Two errors end a txn and are no demand; probes only where nothing proven or likely served a read

Cause: worthless txns, tried eight times each, counted as demand and as work carried. Also covers: a poisoned txn. Harm: a good txn that meets two errors by chance is declined; replicas that others' reads pass over are heard of less.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -58,6 +58,7 @@
 	shedOn       = 10.0      // txns given up within the last seconds that are worth a line in the log
 	refusedRest  = 100 * ms  // a member that refused a connection rests this long, give or take a half
 	refusedCount = 4         // refusals with no answer between them that make it suspect, after a second
+	errorsMost   = 2         // errors after which a txn is taken for worthless: two by chance are rare
 	scarceCount  = 3.0       // refusals of late that make connections scarce: one that is down brings fewer
 	coldPart     = 0.7       // of the multiple at which a cold member falls over: what may be planned for
 	usualMost    = 1000      // tries of another time that make the usual one give way, at most
@@ -145,14 +146,16 @@
 			m.unreached = true
 			g.lost(m, "no connection")
 		}
+	case Failed:
+		// Worthless txns get a quick error anywhere: they are no demand and show nothing of what a member can do.
+		m.carried.add(g.now, fadeClass, -g.expected(t.class))
+		if t.errors++; t.errors == errorsMost {
+			g.demand.add(g.now, fadeClass, -g.expected(t.class))
+		}
 	case Broken:
 		m.unreached = true
 		g.lost(m, "connection broken")
 	}
-	ran := r == Failed || r == TimedOut || r == Broken || r == Cancelled
-	if ran && (t.ranAt == 0 || s.at < t.ranAt) {
-		t.ranAt = s.at
-	}
 	if t.group.scout == t {
 		t.group.scout = nil
 	}
@@ -321,7 +324,6 @@
 		g.starts(m, g.now)
 	}
 	if m.suspect && !soon {
-		m.limit = 2
 		g.log("member %v answers again after %d ms, cold: %v", m.id, (g.now-m.lostAt)/ms, m.startedAt > m.listedAt)
 	}
 	m.suspect, m.trial, m.unreached, m.refusals, m.unanswered = false, 0, false, 0, 0
@@ -389,8 +391,8 @@
 	}
 }
 
-// cut takes a share off a member's limit, to below one where this gateway matters little to it. Writes have no
-// other member to go to: a primary that is slow, not crowded, must not idle for it.
+// cut takes a share off a limit, to below one where this gateway matters little to the member. Writes have no
+// other to go to: a primary that is slow, not crowded, must not idle for it.
 func (g *Gateway) cut(m *member) {
 	least := 1.0
 	if m.role == rolePrimary {
@@ -604,7 +606,8 @@
 // maySubmit guards against a second effect.
 func (g *Gateway) maySubmit(t *txn) bool {
 	c := &g.site.Classes[t.class]
-	if len(t.subs) >= g.site.Limits.MaxAttempts || (t.out > 0 && !g.site.Limits.MayDuplicate) {
+	if len(t.subs) >= g.site.Limits.MaxAttempts || t.errors >= errorsMost ||
+		t.out > 0 && !g.site.Limits.MayDuplicate {
 		return false
 	}
 	ran := t.ranAt
@@ -760,12 +763,7 @@
 		return p
 	}
 	// Steps 2, 3, 6 and 7: a replica that needs no proof or is known to have reached the floor.
-	m := g.pick(t, func(m *member) bool {
-		if m != p && m.position < floor {
-			g.lacks(m)
-		}
-		return m != p && m.position >= floor
-	})
+	m := g.pick(t, func(m *member) bool { return m != p && m.position >= floor })
 	if m != nil {
 		return m
 	}
@@ -779,6 +777,7 @@
 			return m
 		}
 	}
+	g.lacks(t.group, p, floor)
 	if !checked && need == "causal" && !t.passed {
 		// Step 4 where they do not: wait for word of some replica.
 		if g.now < min(t.arrived+waitSpan, t.aim-Nanos(2*g.expected(t.class))) {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -274,7 +274,7 @@
 	t.end(1, 1, "a", Committed, 1, 10010).txn(2, 3, 0).pull().at(10015).end(2, 0, "c", Missed, 2, 9000).pull()
 	t.txn(3, 1, 0).txn(7, 3, 0).pull()
 	reports := `"how":"probe","fields":["x0","x1"]`
-	probes := open(`"how":"none","fields":[]`, reports, `"probes":false`, `"probes":true`)
+	probes := open("await", "none", `"how":"none","fields":[]`, reports, `"probes":false`, `"probes":true`)
 	probes.list("a* b").txn(4, 1, 0).pull().at(10100).txn(5, 1, 0).pull()
 	probes.at(10210).g.Probed(Server{'b'}, Committed, Millis(3), []float32{10.2, 0})
 	probes.txn(6, 1, 0).pull()
@@ -285,10 +285,10 @@
 	//  10015 submit 2 to a
 	//  10015 submit 7 to a
 	//  10015 submit 3 to b
-	//  10000 submit 4 to b
 	//  10000 probe b
-	//  10100 submit 5 to b
+	//  10210 decline 4
 	//  10210 submit 6 to b
+	//  10210 submit 5 to b
 }
 
 // Reads make way on a primary whose writes wait or whose latency rises.
@@ -569,3 +569,13 @@
 	// Output:
 	// 10002 decline 2
 }
+
+// A second error ends a txn: it is worthless, and no member does better by it.
+func Example_twoErrors() {
+	t := open().list("a b").txn(1, 2, 0).pull().at(10010).end(1, 0, "a", Failed, 2, 10000).pull()
+	t.at(10020).end(1, 1, "a", Failed, 2, 10010).pull()
+	// Output:
+	// 10000 submit 1 to a
+	//  10010 submit 1 to a
+	//  10020 decline 1
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -125,7 +125,7 @@
 	arrived, aim, expiry, budget Nanos
 	first                        Nanos // arrival of the client's first try, as far as can be told
 	subs                         []submission
-	out                          int
+	out, errors                  int
 	waiting, done                bool
 	ranAt                        Nanos   // sending of the first submission that may have run
 	passed                       bool    // step 5: the wait is over, only the primary will do
@@ -333,6 +333,10 @@
 	t.out--
 	s.to.out--
 	s.to.sentSum -= s.at
+	ran := r == Failed || r == TimedOut || r == Broken || r == Cancelled
+	if ran && (t.ranAt == 0 || s.at < t.ranAt) {
+		t.ranAt = s.at
+	}
 	if r == Cancelled || r == TimedOut {
 		s.to.unanswered += g.now - max(s.at, s.to.quietSince)
 	}
@@ -377,12 +381,17 @@
 	g.queued -= gone
 }
 
-// lacks notes that a read passed a member over for want of proof.
-func (g *Gateway) lacks(m *member) {
-	m.lackAt = g.now
-	if !m.lacking {
-		m.lacking = true
-		g.lacking = append(g.lacking, m)
+// lacks notes the replicas that a read found no proof of and went elsewhere or waits for.
+func (g *Gateway) lacks(grp *group, primary *member, floor Nanos) {
+	for _, m := range grp.members {
+		if m == primary || m.position >= floor {
+			continue
+		}
+		m.lackAt = g.now
+		if !m.lacking {
+			m.lacking = true
+			g.lacking = append(g.lacking, m)
+		}
 	}
 }
 
