Members are probed for their role while no primary answers

Also covers: elections, where the new primary's probe tells. Harm: probes of all members while a group has no primary.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -830,6 +830,7 @@
 		return nil
 	}
 	grp, hold := t.group, t.budget/holdPart
+	g.lacks(grp, p, g.now+1) // a probe tells a role sooner than members tried in turn
 	if s := grp.scout; s != nil && s.out > 0 && g.now-s.subs[len(s.subs)-1].at > hold {
 		grp.scout = nil // a miss comes at once: this one runs, or its member hangs
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -383,6 +383,7 @@
 	t.txn(3, 0, 50).txn(4, 3, 0).pull()
 	// Output:
 	// 10000 submit 1 to a
+	//  10000 probe b
 	//  10000 submit 2 to b
 	//  10010 submit 4 to a
 	//  10010 submit 3 to b
@@ -579,3 +580,16 @@
 	//  10010 submit 1 to a
 	//  10020 decline 1
 }
+
+// No primary is known and nothing names one: members are probed for their role, and the write goes where it is.
+func Example_probedRole() {
+	reports := `"how":"answers","fields":["x0","x1"]`
+	t := open(`"how":"none","fields":[]`, reports, `"probes":false`, `"probes":true`).list("a b c").txn(1, 3, 0).pull()
+	t.at(10005).g.Probed(Server{'b'}, Committed, Millis(2), []float32{10, 1})
+	t.end(1, 0, "a", Missed, 2, 10000).pull()
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 probe b
+	//  10000 probe c
+	//  10005 submit 1 to b
+}
