Clients that say nothing have deadlines, make way for others, and errors reach those sent away

At fault: clients.go, mostOpening (60 s) and no deadline behind it; clientOpened, whose error was written and the connection closed with the startup message unread, which resets it and destroys the error; nobody made way. Ruled out: memory (6 of 48 MB) and the memory bound of clients; the module (it had room). Now a client is in one of six stages, each but an open txn with a deadline (2 s to the first query and for a message that was begun); who is silent makes way, those that never spoke first (after 100 ms), then those that asked once (after 2 s), the longest silent first; an error is followed by a shutdown of sending and a moment of reading.

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"container/list"
 	"strconv"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"magpieglade/decide"
 	"magpieglade/internal/deadlines"
@@ -14,23 +16,51 @@
 const (
 	mostMessage = 192 << 10                  // bytes of a message: a value of 64 KiB in hexadecimal and its statement
 	mostAhead   = 2 * mostMessage            // bytes that a client may have sent ahead
+	mostErrors  = 8                          // statements in a row that are none, after which a client is sent away
 	memoryPart  = 4                          // part of the memory that clients' buffers may fill
 	fairShare   = 32 << 10                   // bytes that a client may hold beyond that
-	membersPart = 4                          // part of the descriptors that clients leave to members and discovery
-	mostOpening = 60000 * decide.Millisecond // for the startup message, as long as PostgreSQL's own server waits
+	membersPart = 3                          // part of the descriptors that clients leave to members and discovery
+	sparePart   = 8                          // part of their own that quiet clients make way for, before none is left
 	mostTurned  = reserve / 4                // clients past the budget that are told so, at a time
+	mostFresh   = 2000 * decide.Millisecond  // from connecting to the first query
+	mostBegun   = 2000 * decide.Millisecond  // from the first byte of a message to its last
+	leastQuiet  = 2000 * decide.Millisecond  // of a client that has asked, before it makes way for others
+	leastFresh  = 100 * decide.Millisecond   // of one that has said nothing: a startup message follows at once
+	mostQuiet   = 60000 * decide.Millisecond // of one that has asked, when nobody needs its descriptor
+	mostUnread  = 5000 * decide.Millisecond  // for a client to read its answers
+	mostLinger  = 300 * decide.Millisecond   // for one that is sent away to read why
+	mostDropped = 256 << 10                  // bytes that are read from it meanwhile
+	slowReader  = 10 * decide.Millisecond    // between looks at whether an answer is out
+)
+
+// stage is what a client is doing; each but asking ends by a deadline.
+type stage int
+
+const (
+	fresh   stage = iota + 1 // has asked nothing and says nothing
+	begun                    // part of a message is here
+	asking                   // a txn is open, which the module ends
+	quiet                    // has asked, and says nothing
+	unread                   // does not read its answers
+	leaving                  // gets nothing more; what it sends is dropped
 )
 
 // client is a connection from a client. It belongs to the loop and is given back in clientClosed.
 type client struct {
 	conn     gnet.Conn
-	admitted bool // past the startup message
-	counted  bool // has a descriptor of the budget; who has none is turned away
-	skipping bool // up to Sync, after an error in the extended protocol
-	leaving  bool // gets nothing more
-	held     int  // bytes in its buffers when last looked at
-	polled   bool // it is looked at again in a moment
-	opening  *deadlines.Entry[due]
+	stage    stage
+	since    decide.Nanos          // when it came to that
+	due      *deadlines.Entry[due] // when that has to end
+	row      *list.Element         // its place among those that are fresh or quiet
+	openedAt decide.Nanos
+	admitted bool         // past the startup message
+	asked    bool         // has sent a query that was one
+	counted  bool         // has a descriptor of the budget; who has none is turned away
+	skipping bool         // up to Sync, after an error in the extended protocol
+	errors   int          // statements in a row that were none
+	held     int          // bytes in its buffers when last looked at
+	dropped  int          // bytes read from it since it was sent away
+	polled   bool         // it is looked at again in a moment
 	txn      slots.Ref    // the open one; its query is the first in the connection's buffer
 	aheadAt  decide.Nanos // when the first of what stands behind an open query came
 }
@@ -39,20 +69,81 @@
 	if g.closing {
 		return pgwire.AppendError(nil, "FATAL", "57P03", "the gateway is ending", ""), gnet.Close
 	}
-	counted := g.budget.take(1, (g.config.Limits.Sockets-reserve)/membersPart)
-	if !counted && g.turnedAway >= mostTurned {
-		return pgwire.AppendError(nil, "FATAL", "53300", "too many connections", ""), gnet.Close
-	}
+	others := g.budget.all / membersPart
+	g.makeRoom(others + (g.budget.all-others)/sparePart)
+	counted := g.budget.take(1, others)
 	if !counted {
-		g.turnedAway++
 		g.noteFull(true)
+		if g.turnedAway >= mostTurned { // an error that is cut off by a reset would be worse than none
+			return nil, gnet.Close
+		}
+		g.turnedAway++
 	}
-	ref := g.clients.Add(client{conn: c, counted: counted})
-	g.clients.Get(ref).opening = g.deadlines.Add(int64(g.clock.now()+mostOpening), due{kind: dueOpening, ref: ref})
+	now := g.clock.now()
+	ref := g.clients.Add(client{conn: c, counted: counted, openedAt: now})
 	c.SetContext(&owner{kind: ownerClient, ref: ref, counted: counted})
+	g.enter(ref, g.clients.Get(ref), fresh)
 	return nil, gnet.None
 }
 
+// enter brings a client to a stage, with its deadline and its place among those that can make way.
+func (g *Gateway) enter(ref slots.Ref, c *client, to stage) {
+	if c.stage == to {
+		return
+	}
+	g.leaveStage(c)
+	c.stage, c.since = to, g.clock.now()
+	end := c.since
+	switch to {
+	case fresh:
+		c.since = c.openedAt
+		end = c.since + mostFresh
+		c.row = g.silent[0].PushBack(ref)
+	case quiet:
+		end += mostQuiet
+		c.row = g.silent[1].PushBack(ref)
+	case begun:
+		end += mostBegun
+	case unread:
+		end += mostUnread
+	case leaving:
+		end += mostLinger
+	case asking:
+		return
+	}
+	c.due = g.deadlines.Add(int64(end), due{kind: dueClient, ref: ref})
+}
+
+func (g *Gateway) leaveStage(c *client) {
+	g.deadlines.Drop(c.due)
+	c.due = nil
+	if c.row != nil {
+		g.silent[0].Remove(c.row) // it is in one of them
+		g.silent[1].Remove(c.row)
+		c.row = nil
+	}
+}
+
+// makeRoom sends clients away that say nothing until so many descriptors are free: first those that never
+// said anything, then those whose last answer is long enough ago, the longest silent first.
+func (g *Gateway) makeRoom(wanted int) {
+	now, coming := g.clock.now(), g.budget.free
+	for i, least := range [...]decide.Nanos{leastFresh, leastQuiet} {
+		for e := g.silent[i].Front(); e != nil && coming < wanted; e = g.silent[i].Front() {
+			c := g.clients.Get(e.Value.(slots.Ref))
+			if now-c.since < least {
+				break
+			}
+			if c.counted {
+				coming++
+			}
+			g.leaveStage(c)
+			c.stage = leaving
+			_ = c.conn.Close()
+		}
+	}
+}
+
 // clientClosed is the one place where a client is given back. What it had asked for is withdrawn.
 func (g *Gateway) clientClosed(ref slots.Ref) {
 	c := g.clients.Get(ref)
@@ -60,20 +151,27 @@
 		return
 	}
 	g.held -= c.held
-	g.deadlines.Drop(c.opening)
-	if c.counted {
-		g.noteFull(false)
-	} else {
+	g.leaveStage(c)
+	if !c.counted {
 		g.turnedAway--
 	}
+	if g.budget.free > g.budget.all/membersPart+(g.budget.all-g.budget.all/membersPart)/sparePart {
+		g.noteFull(false)
+	}
+	g.withdraw(c)
+	g.clients.Free(ref)
+}
+
+// withdraw ends what a client has asked for that goes away, or is sent away.
+func (g *Gateway) withdraw(c *client) {
 	if t := g.txns.Get(c.txn); t != nil && !t.answered {
 		t.answered = true
 		g.inputs = append(g.inputs, input{kind: inWithdrawn, ref: c.txn})
 	}
-	g.clients.Free(ref)
+	c.txn = slots.Ref{}
 }
 
-// noteFull logs when clients are turned away for lack of descriptors, and when they no longer are.
+// noteFull logs when clients are turned away for lack of descriptors, and when there is room for more again.
 func (g *Gateway) noteFull(full bool) {
 	if full != g.full {
 		g.full = full
@@ -81,10 +179,18 @@
 	}
 }
 
-// openingTooLong ends a connection that has not got past its startup message.
-func (g *Gateway) openingTooLong(ref slots.Ref) {
-	if c := g.clients.Get(ref); c != nil && !c.admitted {
-		g.dismiss(ref)
+// clientOverdue ends a connection whose stage has lasted too long. Half a message is worth a word.
+func (g *Gateway) clientOverdue(ref slots.Ref) {
+	switch c := g.clients.Get(ref); {
+	case c == nil:
+	case c.stage == begun && !g.list.held:
+		g.refuse(ref, "57P03", "no list of members yet")
+	case c.stage == begun:
+		g.refuse(ref, "08P01", "the message does not end")
+	default:
+		g.leaveStage(c)
+		c.stage = leaving
+		_ = c.conn.Close()
 	}
 }
 
@@ -94,11 +200,13 @@
 	if c == nil {
 		return
 	}
-	c.leaving = true
-	if c.conn.OutboundBuffered() > 0 && g.clock.now() < g.dismissBy(c) {
-		g.deadlines.Add(int64(g.clock.now()+slowReader), due{kind: dueDismiss, ref: ref})
+	if c.conn.OutboundBuffered() > 0 {
+		g.enter(ref, c, unread)
+		g.again(ref, c)
 		return
 	}
+	g.leaveStage(c)
+	c.stage = leaving
 	_ = c.conn.Close()
 }
 
@@ -110,22 +218,30 @@
 	}
 }
 
-const slowReader = 10 * decide.Millisecond // between looks at whether an answer is out
-
-// dismissBy is how long a slow reader is waited for.
-func (g *Gateway) dismissBy(c *client) decide.Nanos {
-	if g.last > 0 {
-		return g.last
-	}
-	return c.aheadAt + 1000*decide.Millisecond
-}
-
 // refuse ends a connection that does not keep to the protocol. Its word is the answer to a query that is open.
+// The client is given a moment to read it: a close with something unread resets a connection, and what was
+// just written may be lost with it.
 func (g *Gateway) refuse(ref slots.Ref, code, message string) {
 	c := g.clients.Get(ref)
-	c.aheadAt = g.clock.now()
+	g.withdraw(c)
+	g.enter(ref, c, leaving)
 	g.writeClient(c, pgwire.AppendError(g.scratch[:0], "FATAL", code, message, ""))
-	g.dismiss(ref)
+	if c = g.clients.Get(ref); c == nil {
+		return
+	}
+	if c.conn.OutboundBuffered() == 0 { // else the deadline ends it, with nothing more said
+		_ = unix.Shutdown(c.conn.Fd(), unix.SHUT_WR)
+	}
+	g.drop(c)
+}
+
+// drop reads and forgets what a client sends that is sent away; one that sends too much is closed.
+func (g *Gateway) drop(c *client) {
+	n, _ := c.conn.Discard(-1)
+	if c.dropped += n; c.dropped > mostDropped && c.due != nil {
+		g.leaveStage(c)
+		_ = c.conn.Close()
+	}
 }
 
 // writeClient writes to a client; a write that fails ends the connection within it.
@@ -140,12 +256,18 @@
 func (g *Gateway) readClient(ref slots.Ref) {
 	for {
 		c := g.clients.Get(ref)
-		if c == nil || c.leaving {
+		if c == nil {
 			return
 		}
-		waiting, unread := c.conn.InboundBuffered(), c.conn.OutboundBuffered()
-		g.held += waiting + unread - c.held
-		c.held = waiting + unread
+		if c.stage == leaving {
+			g.held -= c.held
+			c.held = 0
+			g.drop(c)
+			return
+		}
+		waiting, out := c.conn.InboundBuffered(), c.conn.OutboundBuffered()
+		g.held += waiting + out - c.held
+		c.held = waiting + out
 		if waiting > mostAhead {
 			g.refuse(ref, "08P01", "too much sent ahead")
 			return
@@ -154,13 +276,15 @@
 			if c.aheadAt == 0 && waiting > t.size {
 				c.aheadAt = g.clock.now()
 			}
+			g.enter(ref, c, asking)
 			return
 		}
 		if g.held > g.config.Limits.MemoryMB<<20/memoryPart && c.held > fairShare {
 			g.refuse(ref, "53300", "no memory for more")
 			return
 		}
-		if unread > 0 { // a slow reader gets no further answers until it has read these
+		if out > 0 { // a slow reader gets no further answers until it has read these
+			g.enter(ref, c, unread)
 			g.again(ref, c)
 			return
 		}
@@ -171,6 +295,7 @@
 		}
 		if waiting == 0 {
 			c.aheadAt = 0
+			g.enter(ref, c, c.silence())
 			return
 		}
 		buf, err := c.conn.Peek(min(waiting, pgwire.HeadSize))
@@ -190,14 +315,34 @@
 			size = g.readOpening(ref, c, buf)
 		}
 		if size == 0 {
+			// Part of a message, or a txn's query, which stays; a write may have ended it, or sent it away.
+			if c = g.clients.Get(ref); c != nil && c.stage != leaving && c.stage != unread {
+				g.enter(ref, c, c.holding())
+			}
 			return
 		}
-		if g.clients.Get(ref) != nil { // a write may have ended it
+		if c = g.clients.Get(ref); c != nil && c.stage != leaving {
 			_, _ = c.conn.Discard(size)
 		}
 	}
 }
 
+// silence is the stage of a client of which nothing is unread.
+func (c *client) silence() stage {
+	if c.asked {
+		return quiet
+	}
+	return fresh
+}
+
+// holding is the stage of a client whose first message stays in its buffer.
+func (c *client) holding() stage {
+	if c.txn != (slots.Ref{}) {
+		return asking
+	}
+	return begun
+}
+
 // readOpening takes one message before a session; 0 is none.
 func (g *Gateway) readOpening(ref slots.Ref, c *client, buf []byte) int {
 	kind, size, err := pgwire.Open(buf)
@@ -215,7 +360,6 @@
 		return 0
 	case kind == pgwire.Startup:
 		c.admitted = true
-		g.deadlines.Drop(c.opening)
 		g.writeClient(c, pgwire.AppendWelcome(g.scratch[:0]))
 	}
 	return size
@@ -268,15 +412,23 @@
 			g.again(ref, c)
 			return 0
 		}
+		c.asked = true
 		g.writeClient(c, pgwire.AppendReady(pgwire.AppendEmpty(g.scratch[:0])))
 		return size
 	}
-	if problem := g.arrived(ref, c, text, size); problem != "" {
-		out := pgwire.AppendError(g.scratch[:0], "ERROR", "42601", problem, "")
-		g.writeClient(c, pgwire.AppendReady(out))
-		return size
+	problem := g.arrived(ref, c, text, size)
+	if problem == "" {
+		c.asked, c.errors = true, 0
+		return 0
 	}
-	return 0
+	// One that sends nothing else would be answered at its full speed.
+	if c.errors++; c.errors == mostErrors {
+		g.refuse(ref, "42601", problem)
+		return 0
+	}
+	out := pgwire.AppendError(g.scratch[:0], "ERROR", "42601", problem, "")
+	g.writeClient(c, pgwire.AppendReady(out))
+	return size
 }
 
 func trimmed(text []byte) []byte {
--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -40,8 +40,8 @@
 	failing string // why the last one failed
 }
 
-// list is what discovery told.
-type list struct {
+// roster is what discovery told.
+type roster struct {
 	seq     int64
 	held    bool // there is one
 	hosts   map[string]host
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 package gateway
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
@@ -47,15 +48,16 @@
 	byID    map[uint64]slots.Ref
 	conns   slots.Table[memberConn]
 	pools   map[decide.Server]*pool
-	list    list
+	list    roster
 	calls   [2]call // by callKind
 	scratch []byte
 	parts   [][]byte
 	counts  counts
 
-	held       int  // bytes in clients' buffers
-	turnedAway int  // clients past the budget that are being told so
-	full       bool // clients are turned away
+	silent     [2]list.List // clients that say nothing, longest first: those that never asked, and the others
+	held       int          // bytes in clients' buffers
+	turnedAway int          // clients past the budget that are being told so
+	full       bool         // clients are turned away
 
 	leaving bool // told to end
 	closing bool // and done with new work
@@ -83,6 +85,7 @@
 		log:  slog.Default().With("gateway", c.Name),
 		byID: map[uint64]slots.Ref{}, pools: map[decide.Server]*pool{}}
 	g.budget.free = c.Limits.Sockets - reserve
+	g.budget.all = g.budget.free
 	g.list.hosts, g.list.groups = map[string]host{}, map[int]bool{}
 	for i := range g.calls {
 		g.calls[i].kind = callKind(i)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -632,7 +632,7 @@
 		c, err := pgconn.Connect(context.Background(), "postgres://portal@"+w.address+"/crm?sslmode=disable")
 		var refused *pgconn.PgError
 		switch {
-		case err == nil:
+		case err == nil && ask(c, "") == "empty":
 			served++
 			open = append(open, c)
 		case errors.As(err, &refused) && refused.Code == "53300":
@@ -644,10 +644,62 @@
 	fmt.Println(served+told, served, told)
 	fmt.Println(ask(open[0], sql("any", "")))
 	// Output:
-	// 80 39 41
+	// 80 46 34
 	// committed by m
 }
 
+// Who connects and says nothing, or begins a message and does not end it, is sent away, and meanwhile makes way
+// for others; so do those that asked once and stay. A word that is still unread does not destroy the error.
+func Example_badClients() {
+	m := newMember("m", "read-write")
+	w := start(100, m)
+	defer w.stop()
+	var silent []net.Conn
+	for range 60 {
+		c, err := net.Dial("tcp4", w.address)
+		must(err)
+		defer c.Close()
+		must(c.SetDeadline(time.Now().Add(soon)))
+		silent = append(silent, c)
+	}
+	until(func() bool {
+		c, err := pgconn.Connect(context.Background(), "postgres://portal@"+w.address+"/crm?sslmode=disable")
+		return err == nil && ask(c, sql("any", "")) == "committed by m"
+	})
+	for _, c := range silent { // a close, and nothing before
+		if n, err := c.Read(make([]byte, 1)); n > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+			fmt.Println(n, err)
+		}
+	}
+	for _, in := range []string{"\x00", hello, hello + "Q\x00\x00\x00\x50/*", hello + message('?', "") + strings.Repeat("x", 1e5),
+		hello + strings.Repeat(query("x"), 100)} {
+		fmt.Println(strings.Replace(w.raw(in, len(in)), "RSSSSSKZ", "hello ", 1))
+	}
+	var once []*pgconn.PgConn // more of them than there is room for, one after the other
+	until(func() bool {
+		c, err := pgconn.Connect(context.Background(), "postgres://portal@"+w.address+"/crm?sslmode=disable")
+		if err == nil && ask(c, sql("any", "")) == "committed by m" {
+			once = append(once, c)
+		}
+		return len(once) == 80
+	})
+	// Output:
+	// E(08P01).
+	// hello .
+	// hello E(08P01).
+	// hello E(08P01).
+	// hello E(42601)ZE(42601)ZE(42601)ZE(42601)ZE(42601)ZE(42601)ZE(42601)ZE(42601).
+}
+
+// until does something again and again until it is done.
+func until(done func() bool) {
+	for end := time.Now().Add(soon); !done(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			panic("it is not done")
+		}
+	}
+}
+
 // What is lacking or wrong at the start ends the program with one line that names it.
 func Example_configuration() {
 	for _, text := range []string{"", "{", `{"listen":"x"}`, `{}`, `{"listen":"127.0.0.1:1"}`,
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -69,9 +69,8 @@
 	dueSubmission
 	dueIdle
 	dueCall
-	dueOpening
+	dueClient
 	dueReadable
-	dueDismiss
 	dueClosing
 	dueLast
 )
@@ -203,15 +202,13 @@
 			g.idleTooLong(d.ref)
 		case dueCall:
 			g.callTimedOut(d.call)
-		case dueOpening:
-			g.openingTooLong(d.ref)
+		case dueClient:
+			g.clientOverdue(d.ref)
 		case dueReadable:
 			if c := g.clients.Get(d.ref); c != nil {
 				c.polled = false
 			}
 			g.inputs = append(g.inputs, input{kind: inReadable, ref: d.ref})
-		case dueDismiss:
-			g.dismiss(d.ref)
 		case dueClosing:
 			g.closeIdleClients()
 		}
