SIGHUP reloads the configuration: the discovery that it names is asked for its whole list, then watched

At fault: main.go had no handler, so the signal's default ended the process. Now Gateway.Reload checks the new file, hangs up both calls, and asks the new address for a whole list before it watches (its versions may be numbered otherwise); the file goes before EDGE_DISCOVERY; a wrong file is logged and changes nothing.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -26,7 +26,13 @@
 }
 
 // FromEnvironment reads the file that EDGE_CONFIG names; the other EDGE variables go before what it says.
-func FromEnvironment() (c Config, err error) {
+func FromEnvironment() (Config, error) { return fromEnvironment(true) }
+
+// FromFile reads the file again, for Reload: EDGE_DISCOVERY is of the time of the start, and the file goes
+// before it.
+func FromFile() (Config, error) { return fromEnvironment(false) }
+
+func fromEnvironment(starts bool) (c Config, err error) {
 	path := os.Getenv("EDGE_CONFIG")
 	if path == "" {
 		return c, errors.New("EDGE_CONFIG is not set")
@@ -42,10 +48,11 @@
 		c.Name = name
 	}
 	for _, v := range [...]struct {
-		name string
-		to   *netip.AddrPort
-	}{{"EDGE_LISTEN", &c.Listen}, {"EDGE_DISCOVERY", &c.Discovery}} {
-		if text := os.Getenv(v.name); text != "" {
+		name  string
+		to    *netip.AddrPort
+		reads bool
+	}{{"EDGE_LISTEN", &c.Listen, true}, {"EDGE_DISCOVERY", &c.Discovery, starts}} {
+		if text := os.Getenv(v.name); text != "" && v.reads {
 			if *v.to, err = netip.ParseAddrPort(text); err != nil {
 				return c, fmt.Errorf("%s: %w", v.name, err)
 			}
--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 
@@ -17,6 +18,7 @@
 	mostEntries = 4096
 	watchMs     = 10000                     // how long a watch waits
 	watchMargin = 1500 * decide.Millisecond // beyond that: under the 2 s after which its news count as told
+	unnumbered  = math.MinInt64             // the version of a list that this discovery did not give
 	callSpan    = 3000 * decide.Millisecond // of a call that need not wait: calls are handled in turn
 )
 
@@ -42,8 +44,8 @@
 
 // roster is what discovery told.
 type roster struct {
-	seq     int64
-	held    bool // there is one
+	seq     int64 // of discovery where it is now
+	held    bool  // there is one
 	hosts   map[string]host
 	groups  map[int]bool    // that were ever named
 	strange map[string]bool // names that were logged as unknown
@@ -89,7 +91,7 @@
 
 func (g *Gateway) writeCall(c *call) {
 	target := "/api/targets"
-	if c.kind == callWatch {
+	if c.kind == callWatch && g.list.seq != unnumbered {
 		target = fmt.Sprintf("/api/targets?after=%d&wait_ms=%d", g.list.seq, c.waits)
 	}
 	c.asked = true
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 package gateway
 
 import (
+	"bytes"
 	"container/list"
 	"context"
 	"errors"
@@ -114,6 +115,33 @@
 	return errors.Join(err, g.ended)
 }
 
+// Reload puts a new configuration in force as far as that goes without a restart: where discovery is. It may
+// be called at any time, and waits until Run has begun. Nothing changes where a value is lacking or wrong.
+func (g *Gateway) Reload(c Config) error {
+	if _, _, err := c.check(); err != nil {
+		return err
+	}
+	<-g.started
+	g.post(func() { g.reload(c) })
+	return nil
+}
+
+// reload is a whole new start for the list: the new service may number its versions otherwise.
+func (g *Gateway) reload(c Config) {
+	now := &g.config
+	restart := c.Listen != now.Listen || c.Limits != now.Limits || !bytes.Equal(c.Settings, now.Settings)
+	g.log.Info("reloaded", "discovery", c.Discovery, "rest_needs_restart", restart)
+	if c.Discovery == now.Discovery {
+		return
+	}
+	now.Discovery = c.Discovery
+	for i := range g.calls {
+		g.hangUpCall(&g.calls[i])
+	}
+	g.list.seq = unnumbered
+	g.call(callWatch)
+}
+
 // post runs something on the loop, in a turn of its own.
 func (g *Gateway) post(f func()) {
 	_ = g.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
