A broken connection makes a member suspect only with a probe that fails, or three in a row

At fault: decide.go, Ended, Broken: lost at once. An answer that can't be read, a reset of one connection and a request written to one that a member had just closed all come as Broken. Ruled out: members that restarted (one 'cold' for each by the list). Now a break is checked by a probe where probes are allowed; without them it is as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -59,6 +59,7 @@
 	shedOn       = 10.0      // txns given up within the last seconds that are worth a line in the log
 	refusedRest  = 100 * ms  // a member that refused a connection rests this long, give or take a half
 	refusedCount = 4         // refusals with no answer between them that make it suspect, after a second
+	breaksMost   = 3         // connections that broke, with no answer between them, that make a member suspect
 	errorsMost   = 2         // errors after which a txn is taken for worthless: two by chance are rare
 	scarceCount  = 3.0       // refusals of late that make connections scarce: one that is down brings fewer
 	coldPart     = 0.7       // of the multiple at which a cold member falls over: what may be planned for
@@ -144,8 +145,7 @@
 		if elapsed < g.site.Limits.ConnectTimeout/2 {
 			g.refused(m)
 		} else {
-			m.unreached = true
-			g.lost(m, "no connection")
+			g.lost(m, "no connection", true)
 		}
 	case Failed:
 		// Worthless txns get a quick error anywhere: they are no demand and show nothing of what a member can do.
@@ -154,8 +154,10 @@
 			g.demand.add(g.now, fadeClass, -g.expected(t.class))
 		}
 	case Broken:
-		m.unreached = true
-		g.lost(m, "connection broken")
+		// One by one connections break, and answers come spoilt, under members that are well: a probe tells.
+		if m.breaks++; !g.check(m) || m.breaks >= breaksMost {
+			g.lost(m, "connections broken", true)
+		}
 	}
 	if t.group.scout == t {
 		t.group.scout = nil
@@ -175,12 +177,11 @@
 	}
 	up := r == Committed
 	g.heardReport(m, report)
-	if m.refusals > 0 && m.checkedAt > 0 {
-		if m.checkedAt = 0; up {
+	if m.refusals+m.breaks > 0 && m.checkedAt > 0 {
+		if m.checkedAt = 0; !up {
+			g.lost(m, "refuses connections and probes", true)
+		} else if m.refusals > 0 {
 			g.crowds.add(g.now, fadeClass, 1)
-		} else {
-			m.unreached = true
-			g.lost(m, "refuses connections and probes")
 		}
 	}
 }
@@ -324,7 +325,7 @@
 	if m.suspect && !soon {
 		g.log("member %v answers again after %d ms, cold: %v", m.id, (g.now-m.lostAt)/ms, m.startedAt > m.listedAt)
 	}
-	m.suspect, m.trial, m.unreached, m.refusals, m.unanswered = false, 0, false, 0, 0
+	m.suspect, m.trial, m.unreached, m.refusals, m.breaks, m.unanswered = false, 0, false, 0, 0, 0
 	if g.scarce() {
 		g.hangUps = append(g.hangUps, m.id)
 	}
@@ -339,18 +340,27 @@
 	}
 	m.restTo = g.now + Nanos((0.5+g.rng.unit())*float64(refusedRest))
 	crowd := g.crowds.read(g.now, fadeClass) >= 1
-	if g.site.Limits.Probes && !crowd && g.now-m.checkedAt > longestQuiet {
-		m.checkedAt, g.checks = g.now, append(g.checks, m.id)
+	if !crowd {
+		g.check(m)
 	}
 	if m.suspect && !crowd || m.refusals >= refusedCount && g.now-m.lostAt > longestQuiet {
-		g.lost(m, "connections refused")
+		g.lost(m, "connections refused", false)
+	}
+}
+
+// check has a member in doubt probed, where that is allowed.
+func (g *Gateway) check(m *member) (allowed bool) {
+	if g.site.Limits.Probes && g.now-m.checkedAt > longestQuiet {
+		m.checkedAt, g.checks = g.now, append(g.checks, m.id)
 	}
+	return g.site.Limits.Probes
 }
 
 // lost takes a member out of the ordinary choice until it answers: its process, its machine or the way to it
 // is gone. It may come back cold, and the list tells that seconds late, if at all: what all gateways held
 // back must not meet it at once, so its trials have a cold member's budget.
-func (g *Gateway) lost(m *member, why string) {
+func (g *Gateway) lost(m *member, why string, unreached bool) {
+	m.unreached = m.unreached || unreached
 	if !m.suspect {
 		if m.refusals == 0 {
 			m.lostAt = g.now
@@ -520,12 +530,12 @@
 			}
 			least := Nanos(silentLeast * g.meanLatency(m))
 			if !m.suspect && g.now-m.quietSince > least && g.waits(m) > silentMeans {
-				g.lost(m, "silent")
+				g.lost(m, "silent", false)
 			}
 			// A group that is silent as a whole, as after a restart of all, shows sooner than any one of it.
 			if 2*silent > len(m.group.members) && all > silentMeans && g.now-m.group.answeredAt > least {
 				for _, o := range m.group.members {
-					g.lost(o, "silent with its group")
+					g.lost(o, "silent with its group", false)
 				}
 			}
 		}
@@ -862,17 +872,6 @@
 	return best
 }
 
-// passed is the position that every replica is known to have reached: a token need not hold then (step 2).
-func (grp *group) passed() Nanos {
-	low := Nanos(1 << 62)
-	for _, m := range grp.members {
-		if m.ready && m.role != RolePrimary {
-			low = min(low, m.position)
-		}
-	}
-	return low
-}
-
 // behind guesses how far a member lags: as last heard, less the longer ago that was, so that a lag is tried
 // again. No read that a server does not check relies on it.
 func (g *Gateway) behind(m *member) Nanos { return max(0, m.lag-(g.now-m.lagAt)) }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -224,6 +224,29 @@
 	//  11520 submit 9 to a
 }
 
+// Connections that break one by one, with answers or a probe between them, do not make a member suspect: it may
+// be the connection or the answer. Three in a row do, and a probe that finds nobody.
+func Example_brokenOnce() {
+	t := open(`"probes":false`, `"probes":true`).list("a b").txn(1, 2, 0).txn(2, 2, 0).pull()
+	t.quiet = false
+	t.end(1, 0, "a", Broken, 0, 0).end(2, 0, "b", Broken, 0, 0).pull().at(10001)
+	t.g.Probed(Server{'a'}, Committed, Millis(1), nil)
+	t.g.Probed(Server{'b'}, TimedOut, Millis(1), nil)
+	t.pull().txn(3, 2, 0).pull().at(10010).end(3, 0, "a", Broken, 0, 0).pull().end(3, 1, "a", Broken, 0, 0).pull()
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 submit 2 to b
+	//  10000 submit 1 to a
+	//  10000 submit 2 to b
+	//  10000 probe a
+	//  10000 probe b
+	//  10001 log: member 98.0.0.0:0 suspect: refuses connections and probes, 1 in flight, quiet for 1 ms
+	//  10001 submit 3 to a
+	//  10010 submit 3 to a
+	//  10010 probe a
+	//  10010 log: member 97.0.0.0:0 suspect: connections broken, 1 in flight, quiet for 10 ms
+}
+
 // Two members claim the role: the newest answer wins, and a miss ends a claim at once.
 func Example_twoPrimaries() {
 	t := open().list("a b").txn(1, 2, 0).txn(2, 2, 0).pull()
--- a/decide/state.go
+++ b/decide/state.go
@@ -77,6 +77,7 @@
 	limit                  float64
 	elapsed, slow, late    mean     // latency of answers: as it is; in service times; in SLA times
 	carried                decaying // service time sent
+	breaks                 int      // of connections, since its last answer
 	refusals               int      // of connections, since its last answer
 	checkedAt              Nanos    // when a probe went out to tell why; 0 once it is back
 	lostAt, restTo         Nanos    // the first of them, or of lost connections; when it may be tried again
@@ -349,6 +350,17 @@
 // reached raises a proven position; one that was proven holds for good, through changes of role as well.
 func (m *member) reached(at Nanos) { m.position = max(m.position, at) }
 
+// passed is the position that every replica is known to have reached: a token need not hold then (step 2).
+func (grp *group) passed() Nanos {
+	low := Nanos(1 << 62)
+	for _, m := range grp.members {
+		if m.ready && m.role != RolePrimary {
+			low = min(low, m.position)
+		}
+	}
+	return low
+}
+
 // asPrimary names a group's primary for the log.
 func (m *member) asPrimary() string {
 	switch {
