Answers only in protocol order, nothing of a spoilt one believed, connections rest before reuse

Now what cannot belong to an answer is known by its first bytes (pgwire.MayBegin), a begun answer has 100 ms to become whole, an idle connection rests for 2 ms and is peeked at before it is used again, a position ahead of the clock proves nothing, and a submission that was never written ends as Moot, not as a silence of its member.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -155,7 +155,22 @@
 		row := message('T', "\x00\x01data\x00"+strings.Repeat("\x00", 18)) +
 			message('D', "\x00\x01\x00\x00\x00"+string(rune(len(m.name)))+m.name)
 		step := m.plan.next(false)
+		spoilt, isSpoilt := map[string]string{
+			"noise": "\x01no message", "order": row[27:] + row[:27], "short": strings.Replace(row, "\x00\x01\x00\x00\x00\x01", "\x00\x01\x00\x00\x00\x02", 1),
+			"huge": row[:27] + "D\xb2\xd0\x5e\x00\x00\x01", "stuck": row[:len(row)-1],
+			"told": message('E', "SERROR\x00C53300\x00Mfull\x00\x00") + "noise", "state": row + message('C', "SELECT 1\x00") + message('Z', "?"),
+		}[step]
+		stale := strings.Replace(row, m.name, "?", 1) + message('C', "SELECT 1\x00") + said
 		switch {
+		case isSpoilt: // and the connection stays open
+			_, _ = io.WriteString(c, spoilt)
+		case step == "report":
+			_, _ = io.WriteString(c, row+message('C', "SELECT 1\x00")+message('S', "stats\x00x0=,x1=0;\x00")+said)
+		case step == "twice":
+			_, _ = io.WriteString(c, row+message('C', "SELECT 1\x00")+said+stale)
+		case step == "late":
+			_, _ = io.WriteString(c, row+message('C', "SELECT 1\x00")+said)
+			_, _ = io.WriteString(c, stale)
 		case step == "half":
 			_, _ = io.WriteString(c, row[:len(row)-1])
 			return
@@ -177,6 +192,16 @@
 	}
 }
 
+// writes counts the writes that came so far; probes come as well.
+func (m *member) writes() (n int) {
+	for len(m.open) > 0 {
+		if strings.Contains(<-m.open, "INSERT") {
+			n++
+		}
+	}
+	return n
+}
+
 // discovery is a stand-in for the list service.
 type discovery struct {
 	l       net.Listener
@@ -373,20 +398,20 @@
 	// true true <nil>
 }
 
-// Half an answer, an answer of two rows and an error are no answers: a repeatable txn is sent again, and nothing
+// Half an answer, an answer of two rows, one that is spoilt and an error are no answers: a repeatable txn is sent again, and nothing
 // of them reaches the client. A once-only txn that may have run is rolled back.
 func Example_badAnswers() {
-	for _, step := range []string{"half", "two", "full", "FULL"} {
+	for _, step := range []string{"half", "two", "full", "FULL", "noise", "order", "short", "huge", "stuck", "state", "report"} {
 		m, other := newMember("m", "read-write", step), newMember("m", "read-only")
 		other.plan = m.plan
 		w := start(256, m, other)
 		fmt.Println(step, ask(w.connect(), sql("any", "")))
 		w.stop()
 	}
-	for _, step := range []string{"half", "two", "error", "full"} {
+	for _, step := range []string{"half", "two", "error", "full", "told", "stuck"} {
 		m := newMember("m", "read-write", step)
 		w := start(256, m)
-		fmt.Println(step, ask(w.connect(), sql("once", "")), len(m.open))
+		fmt.Println(step, ask(w.connect(), sql("once", "")), m.writes())
 		w.stop()
 	}
 	// Output:
@@ -394,10 +419,36 @@
 	// two committed by m
 	// full committed by m
 	// FULL committed by m
+	// noise committed by m
+	// order committed by m
+	// short committed by m
+	// huge committed by m
+	// stuck committed by m
+	// state committed by m
+	// report committed by m
 	// half 40000 rolled back, it may have had its effect 1
 	// two 40000 rolled back, it may have had its effect 1
 	// error 40000 rolled back, it may have had its effect 1
 	// full committed by m 2
+	// told 40000 rolled back, it may have had its effect 1
+	// stuck 40000 rolled back, it may have had its effect 1
+}
+
+// A good answer with more behind it is passed on once, and what is behind is never another txn's answer, whether
+// it comes with it or a little later.
+func Example_moreBehind() {
+	for _, step := range []string{"twice", "late"} {
+		m := newMember("m", "read-write", slices.Repeat([]string{step}, 200)...)
+		w := start(256, m)
+		c := w.connect()
+		for range 200 {
+			if got := ask(c, sql("any", "")); got != "committed by m" {
+				fmt.Println(step, got)
+			}
+		}
+		w.stop()
+	}
+	// Output:
 }
 
 // A member that is silent costs a txn its time, not its answer, and what was given up is closed. So it is when
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"magpieglade/decide"
 	"magpieglade/internal/deadlines"
@@ -13,7 +14,16 @@
 	"magpieglade/internal/slots"
 )
 
-const mostAnswer = 160 << 10 // bytes of an answer: a value of 64 KiB, in hexadecimal at worst, and its frame
+const (
+	mostAnswer = 160 << 10 // bytes of an answer: a value of 64 KiB, in hexadecimal at worst, and its frame
+	// An answer that has begun comes in one piece: a rest that does not is one whose lengths lie.
+	mostPieces = 100 * decide.Millisecond
+	// What belongs to no query comes right behind an answer: a connection that has just brought one rests for
+	// longer than that takes, else it would be read as the answer of the next.
+	leastRest = 2 * decide.Millisecond
+	// All machines read one clock; a commit's position is rounded up. What is further ahead proves nothing.
+	mostEarly = 5 * decide.Millisecond
+)
 
 // phase is what a member's connection is doing.
 type phase int
@@ -40,6 +50,8 @@
 	phase     phase
 	job       job
 	working   bool // has a job
+	broken    bool // brought what it should not have: nothing that it said is believed
+	begun     bool // part of an answer has come
 	sent      bool // the query was written, though some of it may wait in the outbound buffer
 	abandoned bool // given up while it was dialled: closed as soon as it comes up
 	since     decide.Nanos
@@ -54,7 +66,7 @@
 	parts            [][2]int
 	rows, columns    int
 	complete         bool
-	code             string // of an ErrorResponse
+	problem          pgwire.Problem // an ErrorResponse
 	role             decide.Role
 	position         float64
 	report           []float64
@@ -75,15 +87,8 @@
 
 // connect gives a job to the latest used idle connection, or dials one.
 func (g *Gateway) connect(server decide.Server, j job) slots.Ref {
-	p := g.poolOf(server)
-	for len(p.idle) > 0 {
-		ref := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
+	if ref, ok := g.rested(server); ok {
 		m := g.conns.Get(ref)
-		if m.conn.InboundBuffered() > 0 { // half a message that nobody asked for
-			g.release(ref)
-			continue
-		}
 		g.deadlines.Drop(m.patience)
 		g.assign(ref, m, j)
 		g.begin(ref)
@@ -105,6 +110,31 @@
 	return ref
 }
 
+// rested takes the latest used idle connection out of the pool that can be used again. One on which something
+// waits unread, be it its end, is no longer of use; the loop may not have come to read it yet.
+func (g *Gateway) rested(server decide.Server) (ref slots.Ref, ok bool) {
+	p := g.pools[server]
+	if p == nil {
+		return ref, false
+	}
+	now := g.clock.now()
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		ref = p.idle[i]
+		m := g.conns.Get(ref)
+		if now-m.since < leastRest {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
+		var one [1]byte
+		_, _, err := unix.Recvfrom(m.conn.Fd(), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		if err == unix.EAGAIN && m.conn.InboundBuffered() == 0 {
+			return ref, true
+		}
+		g.release(ref)
+	}
+	return ref, false
+}
+
 // closeLongestIdle closes the idle connection that was used longest ago.
 func (g *Gateway) closeLongestIdle() bool {
 	var oldest slots.Ref
@@ -133,7 +163,7 @@
 // begin writes the query of a connection's job.
 func (g *Gateway) begin(ref slots.Ref) {
 	m := g.conns.Get(ref)
-	m.phase = busy
+	m.phase, m.begun = busy, false
 	m.answer = answer{parts: m.answer.parts[:0]}
 	var parts [][]byte
 	if m.job.probe {
@@ -213,8 +243,8 @@
 	}
 	if m.working {
 		switch {
-		case m.answer.code != "" && m.phase == busy:
-			g.finish(ref, resultOf(m.answer.code), true)
+		case m.phase == busy && m.answer.problem.Fatal && !m.broken && m.conn.InboundBuffered() == m.answer.read:
+			g.finish(ref, resultOf(m.answer.problem.Code), true) // after which no ReadyForQuery is due
 		case m.sent && flushed:
 			g.finish(ref, decide.Broken, false)
 		default:
@@ -228,6 +258,9 @@
 // not leaves the connection to come up and be of use to another.
 func (g *Gateway) giveUp(ref slots.Ref, r decide.Result) {
 	m := g.conns.Get(ref)
+	if m.phase != busy {
+		r = decide.Moot // it was never written: the member is not silent, and nothing ran
+	}
 	g.finish(ref, r, false)
 	if m.phase == busy {
 		g.release(ref)
@@ -235,7 +268,11 @@
 }
 
 func (g *Gateway) submissionTimedOut(ref slots.Ref) {
-	if m := g.conns.Get(ref); m != nil && m.working {
+	switch m := g.conns.Get(ref); {
+	case m == nil || !m.working:
+	case m.begun && g.clock.now() < m.job.until:
+		g.memberRefused(ref)
+	default:
 		g.giveUp(ref, decide.TimedOut)
 	}
 }
@@ -265,7 +302,7 @@
 
 // closeIdle closes the idle connections to a member.
 func (g *Gateway) closeIdle(server decide.Server) {
-	for p := g.poolOf(server); len(p.idle) > 0; {
+	for p := g.pools[server]; p != nil && len(p.idle) > 0; {
 		g.release(p.idle[len(p.idle)-1])
 	}
 }
@@ -303,13 +340,20 @@
 	if a != nil {
 		in.report = a.report
 		in.role = a.role
-		if a.position > 0 {
-			in.position = g.clock.at(a.position)
-		}
+		in.position, _ = g.position(a.position)
 	}
 	g.inputs = append(g.inputs, in)
 }
 
+// position is a position on the gateway's clock, 0 where it was not told or lies ahead.
+func (g *Gateway) position(unixMs float64) (at decide.Nanos, ok bool) {
+	at = g.clock.at(unixMs)
+	if unixMs <= 0 || at > g.clock.now()+mostEarly {
+		return 0, false
+	}
+	return at, true
+}
+
 // resultOf is what an error of a member means.
 func resultOf(code string) decide.Result {
 	switch code {
@@ -334,44 +378,54 @@
 		}
 		a := &m.answer
 		kind, body, size, err := pgwire.Message(buf[a.read:], mostAnswer)
-		if err != nil || len(buf) > mostAnswer {
-			g.memberClosed(ref, true)
+		if err != nil || len(buf) > mostAnswer || !pgwire.MayBegin(buf[a.read:], mostAnswer) {
+			g.memberRefused(ref)
 			return
 		}
 		if size == 0 {
+			if len(buf) > 0 && m.phase == busy && m.working && !m.begun {
+				m.begun = true
+				g.deadlines.Drop(m.patience)
+				end := min(m.job.until, g.clock.now()+mostPieces)
+				m.patience = g.deadlines.Add(int64(end), due{kind: dueSubmission, ref: ref})
+			}
 			return
 		}
 		from := a.read
 		a.read += size
 		ok := true
+		// Messages come in the protocol's order: row description, row, completion, or at any point before that an
+		// error; then the end. What a member tells of itself comes anywhere.
+		answering := m.phase == busy && !a.complete && a.problem.Code == ""
 		switch {
 		case m.phase == idle && (kind == 'S' || kind == 'N'):
 			_, _ = m.conn.Discard(size)
 			a.read = 0
 		case kind == 'S':
-			g.parameter(a, body)
+			ok = g.parameter(a, body)
 		case kind == 'N':
 		case kind == 'Z':
-			ok = g.ready(ref, m, buf)
+			ok = bytes.Equal(body, []byte{'I'}) && g.ready(ref, m, buf)
 		case m.phase == starting && kind == 'R':
 			ok = bytes.Equal(body, []byte{0, 0, 0, 0})
 		case m.phase == starting && kind == 'K':
-		case kind == 'E':
-			a.code = pgwire.Code(body)
+		case kind == 'E' && (answering || m.phase == starting):
+			a.problem = pgwire.ReadProblem(body)
 			// Before its first query a member that is full has no connection to give.
-			ok = m.phase == busy && a.code != ""
-		case m.phase == busy && kind == 'T' && a.columns == 0:
+			ok = m.phase == busy && a.problem.Code != ""
+		case answering && kind == 'T' && a.columns == 0:
 			a.columns = pgwire.Columns(body)
 			a.take(from, size)
 			ok = a.columns == 1
-		case m.phase == busy && kind == 'D':
+		case answering && kind == 'D' && a.columns == 1 && a.rows == 0:
 			var value []byte
 			value, ok = pgwire.Column(body)
 			a.rows++
 			a.value = len(value)
 			a.valueFrom = from + size - len(value)
 			a.take(from, size)
-		case m.phase == busy && kind == 'C':
+		case answering && kind == 'C' && a.rows == 1:
+			_, ok = pgwire.Text(body)
 			a.complete = true
 			a.take(from, size)
 		default:
@@ -390,10 +444,11 @@
 	if m == nil {
 		return
 	}
-	if m.working && m.phase == starting && m.answer.code == "53300" && m.job.probe {
+	if m.working && m.phase == starting && m.answer.problem.Code == "53300" && m.job.probe {
 		// It has no connection to give, yet it answered: that is what a probe asks.
 		g.finish(ref, decide.Committed, false)
 	}
+	m.broken = true
 	g.memberClosed(ref, true)
 }
 
@@ -406,10 +461,10 @@
 }
 
 // parameter takes what a member tells of itself.
-func (g *Gateway) parameter(a *answer, body []byte) {
+func (g *Gateway) parameter(a *answer, body []byte) bool {
 	name, value, ok := pgwire.Parameter(body)
 	if !ok {
-		return
+		return false
 	}
 	switch string(name) {
 	case "mode":
@@ -424,28 +479,40 @@
 	case "stats":
 		a.report = g.reportOf(value)
 	}
+	return true
 }
 
-// reportOf gives a report's values in the order in which the settings name them.
+// reportOf gives a report's values in the order in which the settings name them. One that cannot be read, or
+// lacks a value, tells nothing: a value that is not there is not zero.
 func (g *Gateway) reportOf(text []byte) []float64 {
 	report := make([]float64, len(g.names.LoadReport.Fields))
+	for i := range report {
+		report[i] = -1
+	}
 	for len(text) > 0 {
 		var part []byte
 		part, text, _ = bytes.Cut(text, []byte{','})
 		name, value, _ := bytes.Cut(part, []byte{'='})
 		x, ok := pgwire.Number(value)
 		if !ok {
-			continue
+			return nil
 		}
 		i := slices.Index(g.names.LoadReport.Fields, string(name))
 		if i < 0 {
 			continue
 		}
 		if string(name) == "x0" {
-			x = float64(g.clock.at(x)) / 1e9
+			at, ok := g.position(x)
+			if !ok {
+				return nil
+			}
+			x = float64(at) / 1e9
 		}
 		report[i] = x
 	}
+	if slices.Contains(report, -1) {
+		return nil
+	}
 	return report
 }
 
@@ -474,13 +541,13 @@
 	}
 	r := decide.Committed
 	switch {
-	case a.code != "":
-		r = resultOf(a.code)
+	case a.problem.Code != "":
+		r = resultOf(a.problem.Code)
 	case a.columns != 1 || a.rows != 1 || !a.complete:
 		return false
 	}
 	if m.job.probe {
-		if a.code == "" && g.names.LoadReport.How != "none" {
+		if a.problem.Code == "" && g.names.LoadReport.How != "none" {
 			a.report = g.reportOf(buf[a.valueFrom : a.valueFrom+a.value])
 		}
 	} else if r == decide.Committed {
--- a/internal/pgwire/messages.go
+++ b/internal/pgwire/messages.go
@@ -32,6 +32,9 @@
 	MostOpening = 10000
 )
 
+// mostOther is the longest message of a server but for rows; they are a few words.
+const mostOther = 16 << 10
+
 const (
 	version3   = 3 << 16
 	codeCancel = 1234<<16 | 5678
@@ -120,28 +123,79 @@
 	return body[6:], true
 }
 
-// Columns counts what a RowDescription announces.
+// Columns counts what a RowDescription announces, 0 where it is none.
 func Columns(body []byte) int {
 	if len(body) < 2 {
 		return 0
 	}
-	return int(be.Uint16(body))
+	n, rest := int(be.Uint16(body)), body[2:]
+	for range n { // a name and six numbers
+		end := bytes.IndexByte(rest, 0)
+		if end < 0 || len(rest) < end+1+18 {
+			return 0
+		}
+		rest = rest[end+1+18:]
+	}
+	if len(rest) > 0 {
+		return 0
+	}
+	return n
 }
 
-// Code is the SQLSTATE of an ErrorResponse, empty where it has none.
-func Code(body []byte) string {
+// Problem is what an ErrorResponse says.
+type Problem struct {
+	Code  string // SQLSTATE, empty where it is no ErrorResponse
+	Fatal bool   // the connection ends with it
+}
+
+// ReadProblem reads an ErrorResponse; one that is not whole in itself says nothing.
+func ReadProblem(body []byte) (p Problem) {
 	for len(body) > 1 {
-		field, rest := body[0], body[1:]
-		value, rest, ok := bytes.Cut(rest, []byte{0})
+		field := body[0]
+		value, rest, ok := bytes.Cut(body[1:], []byte{0})
 		if !ok {
-			return ""
+			return Problem{}
 		}
-		if field == 'C' && len(value) == 5 {
-			return string(value)
+		switch field {
+		case 'C':
+			if p.Code != "" || len(value) != 5 {
+				return Problem{}
+			}
+			p.Code = string(value)
+		case 'S', 'V':
+			p.Fatal = p.Fatal || string(value) == "FATAL" || string(value) == "PANIC"
 		}
 		body = rest
 	}
-	return ""
+	if len(body) != 1 || body[0] != 0 {
+		return Problem{}
+	}
+	return p
+}
+
+// MayBegin tells of a message that may not be whole yet whether it can be one of a server's answer: a length
+// that is none, or that is not that of the value within, is seen before what it promises has come.
+func MayBegin(buf []byte, most int) bool {
+	if len(buf) == 0 {
+		return true
+	}
+	switch buf[0] {
+	case 'Z':
+		most = 5
+	case 'S', 'N', 'E', 'T', 'C', 'R', 'K':
+		most = min(most, mostOther)
+	case 'D':
+	default:
+		return false
+	}
+	if len(buf) < HeadSize {
+		return true
+	}
+	n := int(be.Uint32(buf[1:]))
+	if n < 4 || n > most {
+		return false
+	}
+	return buf[0] != 'D' || len(buf) < 11 || n >= 10 && be.Uint16(buf[5:]) == 1 && int(be.Uint32(buf[7:])) == n-10
 }
 
 // begin and end frame a message that is appended between them.
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -48,7 +49,7 @@
 			kind, body, size, err := Message(all[:n], 1000)
 			if size > 0 {
 				text, _ := Text(body)
-				fmt.Printf("%c %d bytes %q %s %v\n", kind, size, text, Code(body), err)
+				fmt.Printf("%c %d bytes %q %v %v\n", kind, size, text, ReadProblem(body), err)
 				all = all[size:]
 				break
 			}
@@ -59,9 +60,9 @@
 		fmt.Println(size, err)
 	}
 	// Output:
-	// Q 14 bytes "SELECT 1"  <nil>
-	// E 38 bytes "" 53300 <nil>
-	// Z 6 bytes ""  <nil>
+	// Q 14 bytes "SELECT 1" { false} <nil>
+	// E 38 bytes "" {53300 false} <nil>
+	// Z 6 bytes "" { false} <nil>
 	// 0 malformed message
 	// 0 malformed message
 	// 0 malformed message
@@ -106,6 +107,32 @@
 	// false
 }
 
+// What cannot belong to an answer is known by its first bytes; an error that is not whole says nothing.
+func ExampleMayBegin() {
+	for _, in := range []string{"", "D", "D\x00\x00\x00\x0c\x00\x01\x00\x00\x00\x02", "D\x00\x00\x00\x0c\x00\x01\x00\x00\x00\x03",
+		"D\x00\x00\x00\x0c\x00\x02", "D\x00\x00\x00\x0c\x00\x02\x00\x00\x00\x02", "D\xb2\xd0\x5e\x00", "Z\x00\x00\x00\x06", "T\x00\x00\x4e\x20", "\x00", "x"} {
+		fmt.Println(MayBegin([]byte(in), 1<<17))
+	}
+	for _, in := range []string{"SFATAL\x00C57P01\x00Mbye\x00\x00", "C53300\x00Mfull\x00", "C53300\x00Mfull", "C533\x00\x00", "C53300\x00\x00x"} {
+		fmt.Print(ReadProblem([]byte(in)), " ")
+	}
+	column := "data\x00" + strings.Repeat("\x00", 18)
+	fmt.Println(Columns([]byte("\x00\x01"+column)), Columns([]byte("\x00\x02"+column)), Columns([]byte("\x00\x01"+column+"x")))
+	// Output:
+	// true
+	// true
+	// true
+	// false
+	// true
+	// false
+	// false
+	// false
+	// false
+	// false
+	// false
+	// {57P01 true} { false} { false} { false} { false} 1 0 0
+}
+
 // FuzzMessages looks for input that ends in a panic, in a size beyond what there is, or in another outcome when
 // only a part of it is there yet.
 func FuzzMessages(f *testing.F) {
@@ -126,9 +153,16 @@
 				t.Error("another outcome from a part")
 			}
 		}
+		if size := msize; size > 0 && MayBegin(in, 1<<16) {
+			for n := range size { // what may be an answer as a whole is so from its first byte on
+				if !MayBegin(in[:n], 1<<16) {
+					t.Error("another view from a part")
+				}
+			}
+		}
 		_, _, _ = Parameter(body)
 		_, _ = Column(body)
-		_, _ = Columns(body), Code(body)
+		_, _ = Columns(body), ReadProblem(body)
 		if text, ok := Text(in); ok {
 			if c, err := ReadComment(text); err == nil {
 				before, behind := c.Around(text)
