What never came costs no cold budget, long answers pass, leavers who do not wait change no aim

At fault: members.go, mostAnswer; Gateway had no word for a part of an answer; decide.go, patience; submit and closed, which did not give back a cold member's credit. Now answers up to 1 MB are taken, all parts together within a quarter of the memory, a standstill of 100 ms in one ends it; parts of answers are told as signs of life; a stay counts only if fewer stay longer and it is longer than service takes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -356,9 +356,8 @@
 	return g.site.Limits.Probes
 }
 
-// lost takes a member out of the ordinary choice until it answers: its process, its machine or the way to it
-// is gone. It may come back cold, and the list tells that seconds late, if at all: what all gateways held
-// back must not meet it at once, so its trials have a cold member's budget.
+// lost takes a member out of the ordinary choice until it answers. It may come back cold, and the list tells
+// that seconds late, if at all: what all gateways held back must not meet it at once.
 func (g *Gateway) lost(m *member, why string, unreached bool) {
 	m.unreached = m.unreached || unreached
 	if !m.suspect {
@@ -386,6 +385,9 @@
 	if m.role == RolePrimary {
 		g.primaries.add(g.now, fadeClass, late)
 	}
+	if s := &g.service[t.class]; x*s.left.read(g.now, fadeClass) > s.stay.read(g.now, fadeClass) {
+		s.outlasted.add(g.now, fadeClass, 1)
+	}
 	g.learnBase(late)
 	g.service[t.class].took.add(g.now, fadeClass, x)
 	if g.now-m.grownAt < Nanos(g.meanLatency(m)) {
@@ -448,14 +450,16 @@
 	return g.base + (1-g.base)*part
 }
 
-// patience is a type's SLA time, or where a good share of clients leave sooner, how long those stayed.
+// patience is a type's SLA time, or where a good share of clients leave sooner, how long those stayed: unless
+// as many stay longer, or it is less than an answer takes. Then it is not for waiting that they leave.
 func (g *Gateway) patience(class int) Nanos {
 	s, aim := &g.service[class], g.site.Classes[class].Aim
-	left := s.left.read(g.now, fadeClass)
-	if left < 1 || left < leaveShare*s.came.read(g.now, fadeClass) {
+	left, outlasted := s.left.read(g.now, fadeClass), s.outlasted.read(g.now, fadeClass)
+	stay := s.stay.read(g.now, fadeClass) / max(1, left)
+	if left < max(1, leaveShare*s.came.read(g.now, fadeClass), outlasted) || stay < hopeless*g.expected(class) {
 		return aim
 	}
-	return min(aim, Nanos(s.stay.read(g.now, fadeClass)/left))
+	return min(aim, Nanos(stay))
 }
 
 // expected is a txn type's service time of late, a quarter of its SLA time before any is known.
@@ -737,8 +741,6 @@
 		m.trial = min(m.trial*2, trialLast)
 		m.trialAt = g.now + m.trial
 	}
-	m.credit -= g.expected(t.class)
-	m.carried.add(g.now, fadeClass, g.expected(t.class))
 	g.opened(t, m)
 	return Decision{Kind: Submit, Txn: t.id, Server: m.id, Until: t.expiry}
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1,5 +1,7 @@
 package decide
 
+import "fmt"
+
 // Step 3: a tokened read goes to the replica that is known to have reached its token.
 func Example_provenReplica() {
 	t := open().list("a b c")
@@ -657,3 +659,86 @@
 	//  10490 decline 1
 	//  10850 decline 2
 }
+
+// each hands a round's decisions to a function.
+func (t *trace) each(f func(Decision)) {
+	t.g.Clock(Millis(t.clock))
+	for d, ok := t.g.Next(); ok; d, ok = t.g.Next() {
+		f(d)
+	}
+}
+
+// What never reached a suspect costs it nothing: once it answers again it is sent a cold member's share at once,
+// not after as long as it was tried in vain.
+func Example_triedInVain() {
+	t := open().list("a b")
+	for id := uint64(1); id <= 300; id++ {
+		t.at(t.clock+10).txn(id, 2, 0).each(func(d Decision) {
+			if d.Kind == Submit {
+				t.g.Ended(d.Txn, len(t.g.txns[d.Txn].subs)-1, d.Server, Moot, Millis(40), 0, 0, false, nil)
+				t.g.lost(t.g.members[d.Server], "silent", false)
+			}
+		})
+	}
+	n := 0
+	for id := uint64(301); id <= 400; id++ {
+		t.at(t.clock+10).txn(id, 2, 0).each(func(d Decision) {
+			if d.Kind == Submit {
+				n++
+				t.g.Ended(d.Txn, len(t.g.txns[d.Txn].subs)-1, d.Server, Committed, Millis(20), 2, 0, true, nil)
+			}
+		})
+	}
+	fmt.Println(n > 20)
+	// Output:
+	// true
+}
+
+// Clients who leave at once whatever is done do not shorten the time for those who stay, which is seen by
+// answers that come after as long; clients who all leave after a while do.
+func Example_leavers() {
+	for _, stay := range []float64{30, 90} {
+		t := open().list("a b c")
+		for id := uint64(1); id <= 200; id += 2 {
+			t.at(t.clock+100).txn(id, 2, 0).txn(id+1, 2, 0).each(func(Decision) {})
+			for i, after := range []float64{stay, 60} {
+				x := t.g.txns[id+uint64(i)]
+				t.at(t.clock + after)
+				if i == 0 {
+					t.g.Withdrawn(x.id)
+				}
+				if len(x.subs) > 0 { // the second has waited for longer than the first, where that left soon
+					r := []Result{Cancelled, Committed}[i]
+					t.g.Ended(x.id, 0, x.subs[0].to.id, r, Millis(60), 2, 0, true, nil)
+				}
+			}
+		}
+		fmt.Println(t.g.patience(2) / Millisecond)
+	}
+	// Output:
+	// 300
+	// 90
+}
+
+// A part of an answer is a sign of life: who sends long answers, a, is not silent while they come.
+func Example_longAnswers() {
+	t := open().list("a b").txn(1, 2, 0).txn(2, 2, 0).pull()
+	t.quiet = false
+	t.end(1, 0, "a", Committed, 2, 9990).end(2, 0, "b", Committed, 2, 9990)
+	for id := uint64(3); id < 11; id++ {
+		t.txn(id, 2, 0)
+	}
+	t.each(func(Decision) {})
+	for t.clock < 10400 {
+		t.g.Heard(Server{'a'})
+		t.run(t.clock + 10)
+	}
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 submit 2 to b
+	//  10200 cancel 4/0
+	//  10200 cancel 6/0
+	//  10200 cancel 8/0
+	//  10200 cancel 10/0
+	//  10200 log: member 98.0.0.0:0 suspect: silent, 4 in flight, quiet for 200 ms
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -133,6 +133,7 @@
 type service struct {
 	took                     mean
 	came, left, stay, intime decaying
+	outlasted                decaying // answers after more than the mean stay of those who left
 	usual                    mode
 	above, share             float64 // of the demand: what is worth more, and its own
 }
@@ -321,6 +322,8 @@
 	t.out++
 	m.out++
 	m.sentSum += g.now
+	m.credit -= g.expected(t.class)
+	m.carried.add(g.now, fadeClass, g.expected(t.class))
 }
 
 func (g *Gateway) closed(t *txn, s *submission, r Result) {
@@ -328,6 +331,10 @@
 	t.out--
 	s.to.out--
 	s.to.sentSum -= s.at
+	if r == Moot || r == Unreachable { // what never came did not cost it anything
+		s.to.credit += g.expected(t.class)
+		s.to.carried.add(g.now, fadeClass, -g.expected(t.class))
+	}
 	ran := r == Failed || r == TimedOut || r == Broken || r == Cancelled
 	if ran && (t.ranAt == 0 || s.at < t.ranAt) {
 		t.ranAt = s.at
@@ -415,6 +422,13 @@
 	g.now, g.stage, g.cursor = now, 0, 0
 }
 
+// Heard tells that part of an answer came: its member is not silent, though it may be slow.
+func (g *Gateway) Heard(server Server) {
+	if m := g.members[server]; m != nil {
+		m.quietSince, m.group.answeredAt = g.now, g.now
+	}
+}
+
 // Withdrawn tells that a txn's client is gone.
 func (g *Gateway) Withdrawn(id uint64) {
 	if t := g.txns[id]; t != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,6 +57,7 @@
 
 	silent     [2]list.List // clients that say nothing, longest first: those that never asked, and the others
 	held       int          // bytes in clients' buffers
+	answering  int          // bytes of answers that are not whole
 	turnedAway int          // clients past the budget that are being told so
 	full       bool         // clients are turned away
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -166,6 +166,9 @@
 			_, _ = io.WriteString(c, spoilt)
 		case step == "report":
 			_, _ = io.WriteString(c, row+message('C', "SELECT 1\x00")+message('S', "stats\x00x0=,x1=0;\x00")+said)
+		case step == "long":
+			value := "\x00\x01" + string(binary.BigEndian.AppendUint32(nil, 350000)) + strings.Repeat("v", 350000)
+			_, _ = io.WriteString(c, row[:27]+message('D', value)+message('C', "SELECT 1\x00")+said)
 		case step == "twice":
 			_, _ = io.WriteString(c, row+message('C', "SELECT 1\x00")+said+stale)
 		case step == "late":
@@ -451,6 +454,19 @@
 	// Output:
 }
 
+// Values longer than agreed, as members were seen to give, are passed on; what is announced as huge is not.
+func Example_longAnswer() {
+	m := newMember("m", "read-write", "long", "huge")
+	w := start(256, m)
+	defer w.stop()
+	c := w.connect()
+	fmt.Println(len(ask(c, sql("any", ""))) - len("committed by "))
+	fmt.Println(ask(c, sql("any", "")))
+	// Output:
+	// 350000
+	// committed by m
+}
+
 // A member that is silent costs a txn its time, not its answer, and what was given up is closed. So it is when
 // the client leaves.
 func Example_silence() {
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -96,6 +96,7 @@
 	inReadable inputKind = iota
 	inEnded
 	inProbed
+	inHeard
 	inWithdrawn
 	inList
 	inListFailed
@@ -137,6 +138,8 @@
 		g.tellEnded(in)
 	case inProbed:
 		g.module.Probed(in.server, in.result, in.elapsed, in.report)
+	case inHeard:
+		g.module.Heard(in.server)
 	case inWithdrawn:
 		g.tellWithdrawn(in.ref)
 	case inList:
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	mostAnswer = 160 << 10 // bytes of an answer: a value of 64 KiB, in hexadecimal at worst, and its frame
-	// An answer that has begun comes in one piece: a rest that does not is one whose lengths lie.
-	mostPieces = 100 * decide.Millisecond
+	// Bytes of an answer. Values are to be of 64 KiB at most, yet members were seen to answer with 350 KB in hexadecimal, rightly.
+	mostAnswer = 1 << 20
+	// An answer that has begun goes on coming: one that stands still for so long is one whose lengths lie.
+	mostStill = 100 * decide.Millisecond
 	// What belongs to no query comes right behind an answer: a connection that has just brought one rests for
 	// longer than that takes, else it would be read as the answer of the next.
 	leastRest = 2 * decide.Millisecond
@@ -49,11 +50,13 @@
 	conn      gnet.Conn // nil while it is dialled
 	phase     phase
 	job       job
-	working   bool // has a job
-	broken    bool // brought what it should not have: nothing that it said is believed
-	begun     bool // part of an answer has come
-	sent      bool // the query was written, though some of it may wait in the outbound buffer
-	abandoned bool // given up while it was dialled: closed as soon as it comes up
+	working   bool         // has a job
+	broken    bool         // brought what it should not have: nothing that it said is believed
+	heardAt   decide.Nanos // when the latest part of an answer came that is not whole yet; 0 is none
+	needs     int          // bytes that the buffer must hold for the message in hand to be whole
+	held      int          // bytes in the buffer, of an answer that is not whole
+	sent      bool         // the query was written, though some of it may wait in the outbound buffer
+	abandoned bool         // given up while it was dialled: closed as soon as it comes up
 	since     decide.Nanos
 	connect   *deadlines.Entry[due]
 	patience  *deadlines.Entry[due] // of a job, or of an idle connection
@@ -163,7 +166,7 @@
 // begin writes the query of a connection's job.
 func (g *Gateway) begin(ref slots.Ref) {
 	m := g.conns.Get(ref)
-	m.phase, m.begun = busy, false
+	m.phase, m.heardAt, m.needs = busy, 0, 0
 	m.answer = answer{parts: m.answer.parts[:0]}
 	var parts [][]byte
 	if m.job.probe {
@@ -221,6 +224,7 @@
 	}
 	g.deadlines.Drop(m.connect)
 	g.deadlines.Drop(m.patience)
+	g.answering -= m.held
 	p := g.poolOf(m.server)
 	if m.phase == idle {
 		p.idle = slices.DeleteFunc(p.idle, func(r slots.Ref) bool { return r == ref })
@@ -270,7 +274,9 @@
 func (g *Gateway) submissionTimedOut(ref slots.Ref) {
 	switch m := g.conns.Get(ref); {
 	case m == nil || !m.working:
-	case m.begun && g.clock.now() < m.job.until:
+	case m.heardAt > 0 && g.clock.now() < min(m.job.until, m.heardAt+mostStill):
+		g.awaitRest(ref, m)
+	case m.heardAt > 0 && g.clock.now() < m.job.until:
 		g.memberRefused(ref)
 	default:
 		g.giveUp(ref, decide.TimedOut)
@@ -372,6 +378,12 @@
 		if m == nil {
 			return
 		}
+		// Until a message is whole its buffer is not looked at: to join what a ring holds in two parts costs a copy.
+		here := m.conn.InboundBuffered()
+		if here < m.needs {
+			g.part(ref, m, here)
+			return
+		}
 		buf, err := m.conn.Peek(-1)
 		if err != nil {
 			return
@@ -382,13 +394,12 @@
 			g.memberRefused(ref)
 			return
 		}
+		m.needs = 0
 		if size == 0 {
-			if len(buf) > 0 && m.phase == busy && m.working && !m.begun {
-				m.begun = true
-				g.deadlines.Drop(m.patience)
-				end := min(m.job.until, g.clock.now()+mostPieces)
-				m.patience = g.deadlines.Add(int64(end), due{kind: dueSubmission, ref: ref})
+			if rest := buf[a.read:]; len(rest) >= pgwire.HeadSize+pgwire.ColumnHead {
+				m.needs = a.read + pgwire.Size(rest)
 			}
+			g.part(ref, m, here)
 			return
 		}
 		from := a.read
@@ -438,6 +449,31 @@
 	}
 }
 
+// part notes that an answer is not whole yet. All of them together are held to a part of the memory.
+func (g *Gateway) part(ref slots.Ref, m *memberConn, here int) {
+	g.answering += here - m.held
+	m.held = here
+	if here == 0 || m.phase != busy || !m.working {
+		return
+	}
+	if g.answering > g.config.Limits.MemoryMB<<20/memoryPart {
+		g.memberRefused(ref)
+		return
+	}
+	first := m.heardAt == 0
+	m.heardAt = g.clock.now()
+	g.inputs = append(g.inputs, input{kind: inHeard, server: m.server})
+	if first {
+		g.awaitRest(ref, m)
+	}
+}
+
+// awaitRest sets until when the next part of an answer has to come.
+func (g *Gateway) awaitRest(ref slots.Ref, m *memberConn) {
+	g.deadlines.Drop(m.patience)
+	m.patience = g.deadlines.Add(int64(min(m.job.until, m.heardAt+mostStill)), due{kind: dueSubmission, ref: ref})
+}
+
 // memberRefused ends a connection that brought what it should not have.
 func (g *Gateway) memberRefused(ref slots.Ref) {
 	m := g.conns.Get(ref)
@@ -559,6 +595,8 @@
 		g.answer(m.job.txn, append(parts, pgwire.AppendReady(nil))...)
 	}
 	g.finish(ref, r, true)
+	g.answering -= m.held
+	m.held = 0
 	_, _ = m.conn.Discard(a.read)
 	*a = answer{parts: a.parts[:0]}
 	if m.conn.InboundBuffered() > 0 {
--- a/internal/pgwire/messages.go
+++ b/internal/pgwire/messages.go
@@ -25,10 +25,11 @@
 	CancelQuery         // CancelRequest
 )
 
-// HeadSize is what Size needs of a message; MostOpening is the longest that a connection may begin with, as in
+// HeadSize is what Size needs of a message, ColumnHead what stands before the value in the body of a row of one column; MostOpening is the longest that a connection may begin with, as in
 // PostgreSQL's own server.
 const (
 	HeadSize    = 5
+	ColumnHead  = 6
 	MostOpening = 10000
 )
 
