Tests: the stand-in's row is cut behind its whole description

The steps 'two', 'order', 'huge' and 'long' cut the row three bytes short, so that they tested noise only; the test of long answers failed for it.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -156,8 +156,8 @@
 			message('D', "\x00\x01\x00\x00\x00"+string(rune(len(m.name)))+m.name)
 		step := m.plan.next(false)
 		spoilt, isSpoilt := map[string]string{
-			"noise": "\x01no message", "order": row[27:] + row[:27], "short": strings.Replace(row, "\x00\x01\x00\x00\x00\x01", "\x00\x01\x00\x00\x00\x02", 1),
-			"huge": row[:27] + "D\xb2\xd0\x5e\x00\x00\x01", "stuck": row[:len(row)-1],
+			"noise": "\x01no message", "order": row[30:] + row[:30], "short": strings.Replace(row, "\x00\x01\x00\x00\x00\x01", "\x00\x01\x00\x00\x00\x02", 1),
+			"huge": row[:30] + "D\xb2\xd0\x5e\x00\x00\x01", "stuck": row[:len(row)-1],
 			"told": message('E', "SERROR\x00C53300\x00Mfull\x00\x00") + "noise", "state": row + message('C', "SELECT 1\x00") + message('Z', "?"),
 		}[step]
 		stale := strings.Replace(row, m.name, "?", 1) + message('C', "SELECT 1\x00") + said
@@ -168,7 +168,7 @@
 			_, _ = io.WriteString(c, row+message('C', "SELECT 1\x00")+message('S', "stats\x00x0=,x1=0;\x00")+said)
 		case step == "long":
 			value := "\x00\x01" + string(binary.BigEndian.AppendUint32(nil, 350000)) + strings.Repeat("v", 350000)
-			_, _ = io.WriteString(c, row[:27]+message('D', value)+message('C', "SELECT 1\x00")+said)
+			_, _ = io.WriteString(c, row[:30]+message('D', value)+message('C', "SELECT 1\x00")+said)
 		case step == "twice":
 			_, _ = io.WriteString(c, row+message('C', "SELECT 1\x00")+said+stale)
 		case step == "late":
@@ -182,7 +182,7 @@
 			m.shut <- sql
 			return
 		case step == "two":
-			_, _ = io.WriteString(c, row+row[27:]+message('C', "SELECT 2\x00")+said)
+			_, _ = io.WriteString(c, row+row[30:]+message('C', "SELECT 2\x00")+said)
 		case step == "error":
 			_, _ = io.WriteString(c, message('E', "SERROR\x00CXX000\x00Moops\x00\x00")+said)
 		case step == "full":
