--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,7 +33,7 @@
 	silentMeans  = 12.0      // a suspect's work in flight has waited for this many mean latencies in all
 	silentLeast  = 4.0       // and its last answer was this many ago: both are rare by chance
 	leaveShare   = 0.05      // of a type's clients who leave early: above it their stay replaces the SLA time
-	trialLast    = 2000 * ms // trials up to this, so that one that came back is not left idle for long
+	trialLast    = 500 * ms  // trials up to this, so that one that came back is not left idle for long
 	longestQuiet = 1000 * ms // a suspect that is back after longer starts again with a small limit
 	limitStart   = 8.0       // first limit on what is in flight to a member: a few cores' worth
 	fewAnswers   = 5.0       // answers of late under which this gateway matters little to a member
