Members that answer errors as others do not come last; clients are closed with nothing unread

Traced: all but 4 of them from one member, which answered 77% of its txns with XX000 within 2 ms; 870 of the second submissions met it too, as it was idle, and two errors made a txn worthless. At fault: decide.go, pick (an error left no mark on its member) and errorsMost. Now a member's share of errors beyond that of all members raises its cost, and a txn that met an error is not sent there again. Where all answer errors alike nothing changes. At fault: clients.go, a close was posted, and what the loop read before it came was dropped: taken, never answered. Now a close between requests looks at the socket first and happens at once.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -53,6 +53,7 @@
 	heldValue    = 0.3       // cost, of its value, of answering a txn that was never sent after half its time
 	rescueMeans  = 2.0       // service times after which a read on a suspect is taken elsewhere
 	farPenalty   = 1.15      // a member elsewhere must be this much less loaded to be preferred
+	errorPenalty = 20.0      // one that answers errors alone must be this much less loaded to be preferred
 	reportAge    = 1000 * ms // an answer's word on a role outweighs a report's for this long
 	jamPart      = 4         // part of its SLA time that a row's oldest waits before newest are first
 	scanDepth    = 64        // waiting txns of a row looked at in a round: bounds the work in a jam
@@ -556,14 +557,6 @@
 	return Decision{}, false
 }
 
-// waits is how many mean latencies a member's work has waited in all since its last answer. What ended
-// without one counts too: a gateway with a txn now and then has little else to go by.
-func (g *Gateway) waits(m *member) float64 {
-	// Work that was sent after the last answer has waited for less than the quiet lasts.
-	waited := min((g.now-m.quietSince)*Nanos(m.out), g.now*Nanos(m.out)-m.sentSum) + m.unanswered
-	return float64(waited) / g.meanLatency(m)
-}
-
 // reviewTxn calls off copies whose client has its answer, and answers at once what can no longer be in time.
 func (g *Gateway) reviewTxn(t *txn) (Decision, bool) {
 	c := &g.site.Classes[t.class]
@@ -622,7 +615,7 @@
 // maySubmit guards against a second effect.
 func (g *Gateway) maySubmit(t *txn) bool {
 	c := &g.site.Classes[t.class]
-	if len(t.subs) >= g.site.Limits.MaxAttempts || t.errors >= errorsMost ||
+	if len(t.subs) >= g.site.Limits.MaxAttempts || t.errors >= min(errorsMost, max(1, g.serving)) ||
 		t.out > 0 && !g.site.Limits.MayDuplicate {
 		return false
 	}
@@ -928,7 +921,7 @@
 	var best *member
 	var low float64
 	for _, m := range t.group.members {
-		if m.barred || !will(m) || !g.room(m, t) || (t.out > 0 && t.tried(m, 0)) || !g.inTime(t, m) {
+		if m.barred || !will(m) || !g.room(m, t) || (t.out+t.errors > 0 && t.tried(m, 0)) || !g.inTime(t, m) {
 			continue
 		}
 		// How slow it is compares its latency with what its txns took anywhere.
@@ -936,6 +929,11 @@
 		if m.zone != g.site.Zone {
 			cost *= farPenalty + float64(g.detourTo(m.zone))/g.expected(t.class)
 		}
+		// Errors may be its member's own, which answers sooner than others for it: those come first by how many
+		// more of them it brings than all do, and a txn that met one is not sent there again.
+		all := g.failing.lean(g.now, fadeLatency, 0, leanCount)
+		errors := m.failing.lean(g.now, fadeLatency, 0, leanCount) - all
+		cost *= 1 + errorPenalty*max(0, errors)
 		if best == nil || cost < low {
 			best, low = m, cost
 		}
--- a/decide/state.go
+++ b/decide/state.go
@@ -76,6 +76,7 @@
 	sentSum                Nanos // sum of the times at which they were sent
 	limit                  float64
 	elapsed, slow, late    mean     // latency of answers: as it is; in service times; in SLA times
+	failing                mean     // share of errors among its answers
 	carried                decaying // service time sent
 	breaks                 int      // of connections, since its last answer
 	refusals               int      // of connections, since its last answer
@@ -188,6 +189,7 @@
 	ranking   []int     // rows of waiting txns, most value for service time first
 	base      float64   // latency in SLA times when nothing is crowded
 	late      mean      // of all answers, as for a member
+	failing   mean      // share of errors among all answers
 	primaries mean      // late, of answers of primaries
 	listed    map[Server]bool
 	unserved  map[unserved]Nanos // when the session's first try of its last txn came, if that was not served
@@ -339,6 +341,14 @@
 	if ran && (t.ranAt == 0 || s.at < t.ranAt) {
 		t.ranAt = s.at
 	}
+	if r == Committed || r == Failed {
+		x := 0.0
+		if r == Failed {
+			x = 1
+		}
+		s.to.failing.add(g.now, fadeLatency, x)
+		g.failing.add(g.now, fadeLatency, x)
+	}
 	if r == Cancelled || r == TimedOut {
 		s.to.unanswered += g.now - max(s.at, s.to.quietSince)
 	}
@@ -498,6 +508,14 @@
 	}
 }
 
+// waits is how many mean latencies a member's work has waited in all since its last answer. What ended
+// without one counts too: a gateway with a txn now and then has little else to go by.
+func (g *Gateway) waits(m *member) float64 {
+	// Work that was sent after the last answer has waited for less than the quiet lasts.
+	waited := min((g.now-m.quietSince)*Nanos(m.out), g.now*Nanos(m.out)-m.sentSum) + m.unanswered
+	return float64(waited) / g.meanLatency(m)
+}
+
 // luck is a txn's own chance, drawn once, so that looking at it again does not raise it.
 func (g *Gateway) luck(t *txn) float64 {
 	if t.luck == 0 {
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -127,23 +127,31 @@
 // makeRoom sends clients away that say nothing until so many descriptors are free: first those that never
 // said anything, then those whose last answer is long enough ago, the longest silent first.
 func (g *Gateway) makeRoom(wanted int) {
-	now, coming := g.clock.now(), g.budget.free
+	now := g.clock.now()
 	for i, least := range [...]decide.Nanos{leastFresh, leastQuiet} {
-		for e := g.silent[i].Front(); e != nil && coming < wanted; e = g.silent[i].Front() {
+		for e := g.silent[i].Front(); e != nil && g.budget.free < wanted; {
 			c := g.clients.Get(e.Value.(slots.Ref))
 			if now-c.since < least {
 				break
 			}
-			if c.counted {
-				coming++
-			}
-			g.leaveStage(c)
-			c.stage = leaving
-			_ = c.conn.Close()
+			e = e.Next()
+			g.sendAway(c)
 		}
 	}
 }
 
+// sendAway closes a connection between its client's requests, unless one has come that is not read yet: it is
+// served first. It closes at once: what the loop would still read before a close that is only posted would
+// look taken to the client, and never be answered.
+func (g *Gateway) sendAway(c *client) {
+	var one [1]byte
+	n, _, err := unix.Recvfrom(c.conn.Fd(), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	if err == nil && n > 0 || c.conn.InboundBuffered() > 0 {
+		return
+	}
+	_ = g.loop.Close(c.conn)
+}
+
 // clientClosed is the one place where a client is given back. What it had asked for is withdrawn.
 func (g *Gateway) clientClosed(ref slots.Ref) {
 	c := g.clients.Get(ref)
@@ -187,14 +195,14 @@
 		g.refuse(ref, "57P03", "no list of members yet")
 	case c.stage == begun:
 		g.refuse(ref, "08P01", "the message does not end")
+	case c.stage == fresh || c.stage == quiet:
+		g.sendAway(c)
 	default:
-		g.leaveStage(c)
-		c.stage = leaving
-		_ = c.conn.Close()
+		_ = g.loop.Close(c.conn)
 	}
 }
 
-// dismiss ends a client's connection once what was written to it is on its way.
+// dismiss ends a client's connection that has all its answers, once they are on their way.
 func (g *Gateway) dismiss(ref slots.Ref) {
 	c := g.clients.Get(ref)
 	if c == nil {
@@ -205,9 +213,7 @@
 		g.again(ref, c)
 		return
 	}
-	g.leaveStage(c)
-	c.stage = leaving
-	_ = c.conn.Close()
+	g.sendAway(c)
 }
 
 // again looks at a client again in a moment, for which no event will come.
@@ -353,7 +359,7 @@
 	case kind == pgwire.Encryption:
 		g.writeClient(c, append(g.scratch[:0], 'N'))
 	case kind == pgwire.CancelQuery:
-		g.dismiss(ref)
+		_ = g.loop.Close(c.conn)
 		return 0
 	case kind == pgwire.Startup && !c.counted:
 		g.refuse(ref, "53300", "too many connections")
@@ -379,7 +385,7 @@
 	case 'Q':
 		return g.readQuery(ref, c, body, size)
 	case 'X':
-		g.dismiss(ref)
+		_ = g.loop.Close(c.conn)
 		return 0
 	case 'S': // Sync
 		c.skipping = false
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -307,9 +307,8 @@
 	return nil, gnet.Close
 }
 
-// OnTraffic notes what came and turns. Connections are closed by posting, never in here: gnet touches the one
-// in hand again afterwards, and a descriptor that is free at once could be met by an event that is meant for
-// its former connection.
+// OnTraffic notes what came and turns. Connections to members are closed by posting, as more may be told of them
+// in the turn; clients at once, see sendAway. Events that come for a closed one find its object, not its descriptor.
 func (g *Gateway) OnTraffic(c gnet.Conn) gnet.Action {
 	o, ok := c.Context().(*owner)
 	if !ok {
@@ -324,6 +323,9 @@
 		g.readDiscovery(c, o)
 	}
 	g.turn()
+	if g.end() != nil {
+		return gnet.Shutdown
+	}
 	return gnet.None
 }
 
