Members that the list drops are forgotten; who comes to the address of one is another

Read, not seen as a loss: decide.go and state.go kept every member ever listed, with its place in its group and among those that lack proof; and a position proven by a former machine held for one that got its address under another id, which could make a read stale. Now a member that is gone and may get nothing is dropped with the announcement; what is out to it ends by its own reference. The gateway tells the module that the former is gone when a new id comes at its address.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -111,11 +111,11 @@
 // Ended tells how a submission ended and what the member said of itself.
 func (g *Gateway) Ended(id uint64, no int, server Server, r Result, elapsed Nanos, role Role, position Nanos,
 	over bool, report []float64) {
-	t, m := g.txns[id], g.members[server]
-	if t == nil || no >= len(t.subs) || t.subs[no].over || t.subs[no].to != m {
+	t := g.txns[id]
+	if t == nil || no >= len(t.subs) || t.subs[no].over || t.subs[no].to.id != server {
 		return
 	}
-	s := &t.subs[no]
+	s, m := &t.subs[no], t.subs[no].to // which the list may have dropped since
 	g.closed(t, s, r)
 	g.heardNote(m, role, position)
 	g.heardReport(m, report)
@@ -200,7 +200,7 @@
 		g.starts(m, start)
 	}
 	m.zone, m.kind, m.named = zone, kind, named
-	m.ready = st == Ready
+	m.ready, m.gone = st == Ready, st == Gone
 	m.drained = !m.ready && (m.drained || st == Draining)
 	m.barred = g.bars(m)
 	g.listed[server] = true
@@ -211,11 +211,13 @@
 	g.serving = 0
 	for _, m := range g.members {
 		if scope != Delta && !g.listed[m.id] {
-			m.ready, m.named = false, false
+			m.ready, m.named, m.gone = false, false, true
 			m.barred = g.bars(m)
 		}
 		if !m.barred {
 			g.serving++
+		} else if m.gone {
+			g.drop(m)
 		}
 	}
 	clear(g.listed)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -229,6 +229,36 @@
 	//  11520 submit 9 to a
 }
 
+// Members that are gone are forgotten, with what was known of them, once the list drops them; what was out to them
+// ends as ever. Who comes to the address of one is another: it is proven nothing.
+func Example_goneForgotten() {
+	t := open().list("a")
+	for i := range 1000 {
+		id := uint64(i + 1)
+		t.at(t.clock+100).txn(id, 2, 0).txn(5000+id, 0, 50).each(func(Decision) {})
+		next := Server{byte(i), byte(i >> 8), 1}
+		old := t.g.txns[id].subs[0].to.id
+		t.g.Listed(next, 0, false, Ready, 0, 1, 0, 0)
+		t.g.Listed(old, 0, false, Draining, 0, 1, 0, 0)
+		t.g.ListEnds(Delta)
+		t.g.Listed(old, 0, false, Gone, 0, 1, 0, 0)
+		t.g.ListEnds(Delta)
+		t.g.Ended(id, 0, old, Committed, Millis(20), RoleReplica, Millis(t.clock), true, nil)
+		read := t.g.txns[5000+id]
+		t.g.Withdrawn(read.id)
+		for no, s := range read.subs {
+			t.g.Ended(read.id, no, s.to.id, Cancelled, Millis(20), 0, 0, true, nil)
+		}
+	}
+	t.at(t.clock + 10000).each(func(Decision) {})
+	fmt.Println(len(t.g.members), len(t.g.groups[0].members), len(t.g.lacking), len(t.g.txns), len(t.g.unserved))
+	t.list("a").list("").list("a")
+	fmt.Println(t.g.members[Server{'a'}].position)
+	// Output:
+	// 1 1 0 0 0
+	// 0
+}
+
 // Connections that break one by one, with answers or a probe between them, do not make a member suspect, nor do
 // they make connections scarce: it may be the connection or the answer. Five in a row do, and a probe that
 // finds nobody; one that is reset finds nothing out.
--- a/decide/state.go
+++ b/decide/state.go
@@ -63,6 +63,7 @@
 	zone, kind             int
 	group                  *group
 	ready, drained, barred bool // barred: told that it drains or is gone
+	gone                   bool // as the list says
 	startedAt              Nanos
 	position, lag          Nanos // proven position; how far behind it was when last heard of
 	lagAt, heardAt         Nanos // when the lag and the position were told
@@ -296,6 +297,10 @@
 // memberOf is a server's entry in a group, made or moved there where needed, and whether it was known before.
 func (g *Gateway) memberOf(server Server, grp int) (*member, bool) {
 	m, known := g.members[server]
+	if known && m.gone && m.barred { // another machine may have its address now
+		g.drop(m)
+		known = false
+	}
 	if !known {
 		m = &member{id: server}
 		g.members[server] = m
@@ -311,6 +316,15 @@
 	return m, known
 }
 
+// drop forgets a member that is gone for good: who has its address later is another. What is out to it still
+// ends there.
+func (g *Gateway) drop(m *member) {
+	is := func(x *member) bool { return x == m }
+	delete(g.members, m.id)
+	m.group.members = slices.DeleteFunc(m.group.members, is)
+	g.lacking = slices.DeleteFunc(g.lacking, is)
+}
+
 // opened and closed keep count of what is in flight.
 func (g *Gateway) opened(t *txn, m *member) {
 	if !m.busy {
--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -207,9 +207,15 @@
 // tellList tells the module a list, gone entries first: their addresses may be in use again.
 func (g *Gateway) tellList(n *news) {
 	for _, e := range n.list.Hosts {
-		if h, ok := g.list.hosts[e.Host]; ok && (e.Health == "left" || h.entry.Dial != e.Dial) {
+		h, ok := g.list.hosts[e.Host]
+		if ok && (e.Health == "left" || h.entry.Dial != e.Dial) {
 			g.leaves(e.Host, h)
 		}
+		for name, h := range g.list.hosts { // another machine at its address: nothing is known of that one
+			if !ok && e.Health != "left" && h.entry.Dial == e.Dial {
+				g.leaves(name, h)
+			}
+		}
 	}
 	if n.scope == decide.FullList {
 		for name, h := range g.list.hosts {
