In a crowd of clients that ask once and stay the longest quiet go after 100 ms

Counted by stage: exactly a third of the descriptors, what clients may hold for requests, were clients that had asked once and said nothing more; 0 to 6 had a txn open. At fault: clients.go, quiet clients made way only for want of descriptors here, and after 2 s. Ruled out: the module, turned away clients (none for the first 4 s of it), restarts. The line 'clients turned away' now counts clients by stage; an empty query does not count as having asked.

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -24,9 +24,11 @@
 	mostTurned  = reserve / 4                // clients past the budget that are told so, at a time
 	mostFresh   = 2000 * decide.Millisecond  // from connecting to the first query
 	mostBegun   = 2000 * decide.Millisecond  // from the first byte of a message to its last
-	leastQuiet  = 2000 * decide.Millisecond  // of a client that has asked, before it makes way for others
+	leastQuiet  = 2000 * decide.Millisecond  // of a client that has asked, before it makes way while there is room
 	leastFresh  = 100 * decide.Millisecond   // of one that has said nothing: a startup message follows at once
-	mostQuiet   = 60000 * decide.Millisecond // of one that has asked, when nobody needs its descriptor
+	mostQuiet   = 60000 * decide.Millisecond // of one that has asked, while there are few
+	fewPart     = 8                          // part of the descriptors up to which clients are few
+	crowdPart   = 4                          // and from which they are a crowd: a front may hold a third for its requests
 	mostUnread  = 5000 * decide.Millisecond  // for a client to read its answers
 	mostLinger  = 300 * decide.Millisecond   // for one that is sent away to read why
 	mostDropped = 256 << 10                  // bytes that are read from it meanwhile
@@ -70,7 +72,8 @@
 		return pgwire.AppendError(nil, "FATAL", "57P03", "the gateway is ending", ""), gnet.Close
 	}
 	others := g.budget.all / membersPart
-	g.makeRoom(others + (g.budget.all-others)/sparePart)
+	g.makeRoom(others+(g.budget.all-others)/sparePart, leastQuiet)
+	g.makeRoom(others+1, leastFresh) // one who comes has something to ask
 	counted := g.budget.take(1, others)
 	if !counted {
 		g.noteFull(true)
@@ -100,7 +103,13 @@
 		end = c.since + mostFresh
 		c.row = g.silent[0].PushBack(ref)
 	case quiet:
-		end += mostQuiet
+		end += leastQuiet
+		if g.crowded() { // and it is likely that they ask once and stay: the longest quiet goes as well
+			end = c.since + leastFresh
+			if e := g.silent[1].Front(); e != nil {
+				g.clientOverdue(e.Value.(slots.Ref))
+			}
+		}
 		c.row = g.silent[1].PushBack(ref)
 	case begun:
 		end += mostBegun
@@ -126,7 +135,7 @@
 
 // makeRoom sends clients away that say nothing until so many descriptors are free: first those that never
 // said anything, then those whose last answer is long enough ago, the longest silent first.
-func (g *Gateway) makeRoom(wanted int) {
+func (g *Gateway) makeRoom(wanted int, leastQuiet decide.Nanos) {
 	now := g.clock.now()
 	for i, least := range [...]decide.Nanos{leastFresh, leastQuiet} {
 		for e := g.silent[i].Front(); e != nil && g.budget.free < wanted; {
@@ -183,11 +192,34 @@
 func (g *Gateway) noteFull(full bool) {
 	if full != g.full {
 		g.full = full
-		g.log.Info("clients turned away", "now", full, "clients", g.clients.Len(), "descriptors", g.budget.used)
+		var n [leaving + 1]int
+		for _, ref := range g.clients.Refs() {
+			n[g.clients.Get(ref).stage]++
+		}
+		g.log.Info("clients turned away", "now", full, "descriptors", g.budget.used, "fresh", n[fresh], "begun", n[begun],
+			"asking", n[asking], "quiet", n[quiet], "unread", n[unread], "leaving", n[leaving])
+	}
+}
+
+// crowded tells that clients that have asked are so many that their front may find no connection for a request.
+func (g *Gateway) crowded() bool {
+	return g.clients.Len()-g.silent[0].Len() > g.config.Limits.Sockets/crowdPart
+}
+
+// quietTooLong tells whether a client that has asked and says nothing is to go: the sooner the more there are.
+func (g *Gateway) quietTooLong(c *client) bool {
+	quiet := g.clock.now() - c.since
+	switch {
+	case g.crowded():
+		return quiet >= leastFresh
+	case g.clients.Len() > g.budget.all/fewPart:
+		return quiet >= leastQuiet
 	}
+	return quiet >= mostQuiet
 }
 
-// clientOverdue ends a connection whose stage has lasted too long. Half a message is worth a word.
+// clientOverdue ends a connection whose stage has lasted too long. Half a message is worth a word. Those that
+// are quiet may stay while there are few: they count against what their front may hold here as well.
 func (g *Gateway) clientOverdue(ref slots.Ref) {
 	switch c := g.clients.Get(ref); {
 	case c == nil:
@@ -195,6 +227,9 @@
 		g.refuse(ref, "57P03", "no list of members yet")
 	case c.stage == begun:
 		g.refuse(ref, "08P01", "the message does not end")
+	case c.stage == quiet && !g.quietTooLong(c):
+		g.deadlines.Drop(c.due)
+		c.due = g.deadlines.Add(int64(g.clock.now()+leastQuiet), due{kind: dueClient, ref: ref})
 	case c.stage == fresh || c.stage == quiet:
 		g.sendAway(c)
 	default:
@@ -418,7 +453,6 @@
 			g.again(ref, c)
 			return 0
 		}
-		c.asked = true
 		g.writeClient(c, pgwire.AppendReady(pgwire.AppendEmpty(g.scratch[:0])))
 		return size
 	}
