Session module: floors from what gateways noted, else from the primary's position

session/ decides, without I/O, clocks or goroutines: one question to all gateways serves what waits, else a fence at the primary; any loss of notes is repaired by one fence a group.

--- /dev/null
+++ b/session/marks.go
@@ -0,0 +1,180 @@
+package session
+
+// sessionOf names a session of a group.
+type sessionOf struct {
+	group   int
+	session uint64
+}
+
+// mark is the highest position of a session's writes that is known here.
+type mark struct {
+	position Position
+	at       int64 // when it was told here
+}
+
+// marks are bounded by a span and a number. What is forgotten raises the floor of its group.
+type marks struct {
+	held map[sessionOf]mark
+	line []aged // oldest first; one whose mark was raised since is passed over
+}
+
+type aged struct {
+	of sessionOf
+	at int64
+}
+
+func (m *marks) init() { m.held = map[sessionOf]mark{} }
+
+// note raises a session's mark.
+func (s *Sessions) note(grp int, session uint64, p Position) {
+	of := sessionOf{grp, session}
+	if old, ok := s.marks.held[of]; ok && old.position >= p {
+		return
+	}
+	s.marks.held[of] = mark{p, s.now}
+	s.marks.line = append(s.marks.line, aged{of, s.now})
+}
+
+// forgetOld lets the floors of groups take the place of marks that are old or too many.
+func (s *Sessions) forgetOld() {
+	m := &s.marks
+	n := 0
+	for ; n < len(m.line); n++ {
+		a := m.line[n]
+		if s.now-a.at < s.terms.Span && len(m.held) <= s.terms.MostMarks {
+			break
+		}
+		if held := m.held[a.of]; held.at == a.at && held.position > 0 {
+			s.forget(a.of, held)
+		}
+	}
+	// The array is left behind once half of it is forgotten: each entry moves once more at the most.
+	if m.line = m.line[n:]; len(m.line) == 0 {
+		m.line = nil
+	}
+	s.keys.forgetOld(s.now, s.terms.KeySpan, s.terms.MostMarks)
+}
+
+// forget drops a mark and raises the floor of its group, never above what the primary was seen at long after: what
+// it has not reached by then is lost or was never so.
+func (s *Sessions) forget(of sessionOf, held mark) {
+	delete(s.marks.held, of)
+	g := s.groupOf(of.group)
+	p := held.position
+	if p > g.top && g.topAt > held.at+settle {
+		p = g.top
+	}
+	if p > g.floor {
+		g.floor, g.floorAt = p, s.now
+	}
+}
+
+// floorOf is what a session's read must see by what is known here.
+func (s *Sessions) floorOf(g *group, session uint64) (p Position, at int64) {
+	p, at = g.floor, g.floorAt
+	if held, ok := s.marks.held[sessionOf{g.id, session}]; ok && held.position > p {
+		p, at = held.position, held.at
+	}
+	return p, at
+}
+
+// Committed notes that a session's write is about to be answered as committed at a position. It is to be told before
+// the answer is written.
+func (s *Sessions) Committed(grp int, session uint64, p Position) {
+	s.earn(s.terms.MessagesPerTxn)
+	if p <= 0 {
+		return
+	}
+	s.heardTop(s.groupOf(grp), p, s.now)
+	if session != 0 {
+		s.note(grp, session, p)
+		s.append(Entry{Kind: Mark, Group: grp, Key: session, Position: p})
+	}
+}
+
+// heardTop takes a primary's own word on its position, given at or after a time.
+func (s *Sessions) heardTop(g *group, p Position, at int64) {
+	if p > g.top || at > g.topSet+settle { // lower for so long: another primary, which has less or another clock
+		g.top, g.topSet = p, at
+	}
+	g.topAt = max(g.topAt, at)
+}
+
+// State is what a restart needs in order to go on as if nothing had been.
+type State struct {
+	Epoch, Last uint64
+	Marks       []Entry // of all gateways, by age, oldest first
+	Keys        []Entry
+	Notes       []Entry // of this gateway, the last of which has the number Last
+	Floors      []Floor
+	Peers       []Coverage
+}
+
+// Floor is the floor of a group.
+type Floor struct {
+	Group    int
+	Position Position
+}
+
+// Coverage says up to which number another gateway's notes are held, without a gap since they were first heard of.
+type Coverage struct {
+	Peer  int
+	Epoch uint64
+	Upto  uint64
+}
+
+// Dump gives the state.
+func (s *Sessions) Dump() State {
+	st := State{Epoch: s.epoch, Last: s.notes.last}
+	for _, a := range s.marks.line {
+		if held := s.marks.held[a.of]; held.at == a.at && held.position > 0 {
+			st.Marks = append(st.Marks, Entry{Kind: Mark, Group: a.of.group, Key: a.of.session,
+				Position: held.position, Age: s.now - a.at})
+		}
+	}
+	for _, n := range s.notes.ring {
+		e := n.Entry
+		e.Age = s.now - n.at
+		st.Notes = append(st.Notes, e)
+	}
+	for _, key := range s.keys.line {
+		held := s.keys.held[key]
+		st.Keys = append(st.Keys, Entry{Kind: Sent, Group: held.group, Key: key, Age: s.now - held.first})
+	}
+	for _, g := range s.groups {
+		if g.fenced == s.loss {
+			st.Floors = append(st.Floors, Floor{g.id, g.floor})
+		}
+	}
+	for i := range s.peers {
+		if p := &s.peers[i]; p.known && i != s.terms.Self {
+			st.Peers = append(st.Peers, Coverage{i, p.epoch, p.upto})
+		}
+	}
+	return st
+}
+
+// Restore takes a state that is known to be complete: nothing was answered after it was dumped that it lacks. It is
+// to be called before the first round's inputs, after Clock. Groups that it has no floor of are fenced as at a first
+// start.
+func (s *Sessions) Restore(st State) {
+	s.epoch, s.notes.last = st.Epoch, st.Last
+	for _, e := range st.Marks {
+		s.note(e.Group, e.Key, e.Position)
+	}
+	for _, e := range st.Keys {
+		s.keys.note(e.Group, e.Key, s.now-e.Age, s.now)
+	}
+	for _, e := range st.Notes {
+		s.notes.ring = append(s.notes.ring, noted{e, s.now - e.Age})
+	}
+	for _, f := range st.Floors {
+		g := s.groupOf(f.Group)
+		g.floor, g.floorAt, g.fenced = f.Position, s.now, s.loss
+	}
+	for _, c := range st.Peers {
+		if c.Peer >= 0 && c.Peer < len(s.peers) && c.Peer != s.terms.Self {
+			s.peers[c.Peer] = peer{known: true, epoch: c.Epoch, upto: c.Upto}
+		}
+	}
+}
