--- a/session/fences.go
+++ b/session/fences.go
@@ -297,14 +297,16 @@
 	}
 }
 
-// roundOverdue gives up a round that takes too long: who has not answered is silent from now on, until it does.
+// roundOverdue gives up a round that takes too long: who has said nothing is silent from now on, until it answers.
+// One that lost a page on the way is not; the reads are fenced all the same.
 func (s *Sessions) roundOverdue() {
 	if s.round.began == 0 || s.now-s.round.began < s.terms.PeerWait {
 		return
 	}
+	began := s.round.began
 	s.round.began = 0
 	for i, no := range s.round.nos {
-		if p := &s.peers[i]; no != 0 && !p.silent {
+		if p := &s.peers[i]; no != 0 && !p.silent && p.heardAt < began {
 			p.silent, p.silentAt = true, s.now
 			s.log("gateway %d does not answer, reads are fenced, notes held to %d", i, p.upto)
 		}
--- a/session/marks.go
+++ b/session/marks.go
@@ -25,8 +25,13 @@
 
 func (m *marks) init() { m.held = map[sessionOf]mark{} }
 
-// note raises a session's mark.
+// note raises a session's mark. A commit that did not tell its position lies under the next fence.
 func (s *Sessions) note(grp int, session uint64, p Position) {
+	if p <= 0 {
+		s.loss++
+		s.stats.Losses++
+		return
+	}
 	of := sessionOf{grp, session}
 	if old, ok := s.marks.held[of]; ok && old.position >= p {
 		return
@@ -82,10 +87,9 @@
 // the answer is written.
 func (s *Sessions) Committed(grp int, session uint64, p Position) {
 	s.earn(s.terms.MessagesPerTxn)
-	if p <= 0 {
-		return
+	if p > 0 {
+		s.heardTop(s.groupOf(grp), p, s.now)
 	}
-	s.heardTop(s.groupOf(grp), p, s.now)
 	if session != 0 {
 		s.note(grp, session, p)
 		s.append(Entry{Kind: Mark, Group: grp, Key: session, Position: p})
--- a/session/peers.go
+++ b/session/peers.go
@@ -136,7 +136,7 @@
 	if since < 0 {
 		return
 	}
-	if page.First > p.upto+1 { // a stretch of it is not to be had
+	if len(page.Entries) == 0 && page.First > p.upto+1 { // a stretch of it is not to be had
 		s.adopt(from, page)
 	}
 	if p.silent {
