--- a/session/trace_test.go
+++ b/session/trace_test.go
@@ -113,7 +113,7 @@
 	t.at(1111).pull()
 	t.at(1112).s.Fenced(0, 6, 9000)
 	t.pull().at(1120).read(2, 7, 0).pull()
-	t.at(1121).told(2, 8, 301, 0, 1).told(1, 7, 201, 10, 1, 0, 0, 0, 0, 0, 0, 0, 0).told(1, 7, 201, 10, 9, 7000, 8000).pull()
+	t.at(1121).told(2, 8, 301, 0, 1).told(1, 7, 201, 10, 1, 1, 1, 1, 1, 1, 1, 1, 1).told(1, 7, 201, 10, 9, 7000, 8000).pull()
 	// Output:
 	// 1100 ask 1 no 4 behind 0 of 201
 	// 1100 ask 2 no 5 behind 0 of 301
@@ -256,7 +256,7 @@
 	t.pull().read(2, 7, 0).pull()
 	// Output:
 	// 1000 fence group 0 no 4
-	// 1000 wake after 50
+	// 1000 wake after 2
 	// 1001 serve 1 from 6000
 	// 1001 fence group 0 no 5
 }
