A ledger of sessions' marks that survives kill -9, torn tails, flipped bits and full disks

Need: after a restart a gateway is to go on where it was, without its primary where that can't be reached.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/netip"
 	"os"
 	"strconv"
@@ -26,6 +27,7 @@
 	Settings json.RawMessage `json:"settings"` // what the module reads, and a few names that the sockets need
 
 	// What the operator's own file says, see deploy/; the platform does not know it.
+	Log        *slog.Logger  `json:"-"` // nil is the default
 	Sessions   *SessionPlan  `json:"-"`
 	ClockError time.Duration `json:"-"` // how far the clocks of machines may differ; positions up to this far ahead are believed
 }
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -37,6 +37,7 @@
 	all            []string
 	extra          []string // environment
 	operatorFile   string
+	readLedger     string // the line that tells what its ledger held
 	configFileName string
 }
 
@@ -131,6 +132,9 @@
 		}
 		exited <- cmd.Wait()
 	}()
+	if strings.Contains(f.operator, "ledger") {
+		p.readLedger = p.logged("ledger read")
+	}
 	p.logged("listening")
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"container/list"
 	"context"
 	"errors"
@@ -87,7 +88,7 @@
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
 	g := &Gateway{config: c, names: n, module: module, clock: newClock(), started: make(chan struct{}),
-		log:  slog.Default().With("gateway", c.Name),
+		log:  cmp.Or(c.Log, slog.Default()).With("gateway", c.Name),
 		byID: map[uint64]slots.Ref{}, pools: map[decide.Server]*pool{}}
 	g.budget.free = c.Limits.Sockets - reserve
 	g.budget.all = g.budget.free
--- /dev/null
+++ b/gateway/ledger_test.go
@@ -0,0 +1,189 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"magpieglade/gateway"
+	"magpieglade/internal/store"
+	"magpieglade/ledger"
+	"magpieglade/session"
+	"magpieglade/standin"
+)
+
+// heldDisk is the operating system's, but its writes wait while it is held, or fail.
+type heldDisk struct {
+	store.Files
+	mu   sync.Mutex
+	held chan struct{}
+	full bool
+}
+
+type heldFile struct {
+	store.File
+	d *heldDisk
+}
+
+func (d *heldDisk) Create(path string) (store.File, error) {
+	f, err := d.Files.Create(path)
+	return heldFile{f, d}, err
+}
+
+func (f heldFile) Write(p []byte) (int, error) {
+	f.d.mu.Lock()
+	held, full := f.d.held, f.d.full
+	f.d.mu.Unlock()
+	if held != nil {
+		<-held
+	}
+	if full {
+		return 0, fmt.Errorf("no space left on device")
+	}
+	return f.File.Write(p)
+}
+
+func (d *heldDisk) set(f func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f()
+}
+
+// logLines is a log and what comes to it.
+func logLines() (*slog.Logger, <-chan string) {
+	r, w := io.Pipe()
+	lines := make(chan string, 10000)
+	go func() {
+		for s := bufio.NewScanner(r); s.Scan(); {
+			lines <- s.Text()
+		}
+	}()
+	return slog.New(slog.NewTextHandler(w, nil)), lines
+}
+
+func awaitLine(t *testing.T, lines <-chan string, part string) {
+	t.Helper()
+	for {
+		select {
+		case l := <-lines:
+			if strings.Contains(l, part) {
+				return
+			}
+		case <-time.After(soon):
+			t.Fatalf("%q was not logged", part)
+		}
+	}
+}
+
+// embedded runs a gateway in this process.
+func embedded(t *testing.T, log *slog.Logger, plan *gateway.SessionPlan, members ...*standin.Member) (address string) {
+	var hosts []standin.Host
+	for _, m := range members {
+		hosts = append(hosts, m.Host("active"))
+	}
+	list := standin.NewList(hosts...)
+	t.Cleanup(list.Close)
+	var c gateway.Config
+	text, err := json.Marshal(map[string]any{"name": "e", "listen": freePort("tcp4", "127.0.0.4"), "discovery": list.Address(),
+		"seed": "1", "limits": map[string]any{"memory_mb": 192, "sockets": 256}, "known": list.Whole(),
+		"settings": json.RawMessage(settings)})
+	must(err)
+	must(json.Unmarshal(text, &c))
+	c.Sessions, c.Log = plan, log
+	g, err := gateway.New(c)
+	must(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return c.Listen.String()
+}
+
+func complete(t *testing.T, folder string) bool {
+	t.Helper()
+	after := t.TempDir() + "/after"
+	must(os.CopyFS(after, os.DirFS(folder)))
+	f, err := ledger.Look(after)
+	must(err)
+	return f.Complete
+}
+
+// A disk that is slow delays an answer for the stated span and no longer; from then on the ledger says of itself that
+// it lacks something, without the disk, until it has caught up. A full disk is no different, and is told.
+func TestSlowAndFullDisk(t *testing.T) {
+	log, lines := logLines()
+	_, members := group(0, 1)
+	d := &heldDisk{Files: store.System()}
+	plan := &gateway.SessionPlan{Terms: session.Defaults(), Ledger: gateway.LedgerPlan{Folder: t.TempDir(),
+		BeforeAnswer: gateway.DurableProcess, AtMost: int64(50 * time.Millisecond)}}
+	plan.Ledger.On(d)
+	address := embedded(t, log, plan, members...)
+	awaitLine(t, lines, "listening")
+	c := standin.NewFront(address).NewClient("fe01", classes)
+	defer c.Close()
+	if a := c.Write(0, "s1", "1"); a.String() != "served 1" || !complete(t, plan.Ledger.Folder) {
+		t.Fatal(a)
+	}
+	held := make(chan struct{})
+	d.set(func() { d.held = held })
+	a := c.Write(0, "s2", "2")
+	if a.String() != "served 2" || a.Took < 50*time.Millisecond || a.Took > time.Second {
+		t.Fatal(a, a.Took)
+	}
+	awaitLine(t, lines, "now=true span_ms")
+	if complete(t, plan.Ledger.Folder) {
+		t.Fatal("complete, though an answer went out that is not written")
+	}
+	d.set(func() { d.held = nil })
+	close(held)
+	awaitLine(t, lines, "now=false span_ms")
+	if !complete(t, plan.Ledger.Folder) {
+		t.Fatal("not complete, though all is written")
+	}
+	d.set(func() { d.full = true })
+	if a := c.Write(0, "s3", "3"); a.String() != "served 3" {
+		t.Fatal(a)
+	}
+	awaitLine(t, lines, "records are not kept")
+	if complete(t, plan.Ledger.Folder) {
+		t.Fatal("complete with a full disk")
+	}
+	d.set(func() { d.full = false })
+	awaitLine(t, lines, "records are kept again")
+	if !complete(t, plan.Ledger.Folder) {
+		t.Fatal("not complete after the snapshot")
+	}
+	if a := c.Read(0); a.String() != "served 3" {
+		t.Fatal(a)
+	}
+}
+
+// A folder that another process has is refused at the start.
+func TestLedgerInUse(t *testing.T) {
+	folder := t.TempDir()
+	l, _, err := ledger.Open(folder, nil, func() {}, func(string, error) {})
+	must(err)
+	defer l.Close()
+	var c gateway.Config
+	must(json.Unmarshal([]byte(`{"name":"e","listen":"127.0.0.4:1","discovery":"127.0.0.1:1","seed":"1","limits":{"memory_mb":192,"sockets":256}}`), &c))
+	c.Settings = json.RawMessage(settings)
+	c.Listen = netip.MustParseAddrPort(freePort("tcp4", "127.0.0.4"))
+	c.Sessions = &gateway.SessionPlan{Terms: session.Defaults(), Ledger: gateway.LedgerPlan{Folder: folder}}
+	g, err := gateway.New(c)
+	must(err)
+	if err := g.Run(context.Background()); err == nil || !strings.Contains(err.Error(), "in use by another process") {
+		t.Fatal(err)
+	}
+}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -79,6 +79,7 @@
 	dueCall
 	dueClient
 	dueReadable
+	dueAnswer
 	dueClosing
 	dueLast
 )
@@ -229,6 +230,8 @@
 			g.callTimedOut(d.call)
 		case dueClient:
 			g.clientOverdue(d.ref)
+		case dueAnswer:
+			g.sessions.marks.overdue(d.ref)
 		case dueReadable:
 			if c := g.clients.Get(d.ref); c != nil {
 				c.polled = false
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -602,7 +602,13 @@
 				parts = append(parts, token)
 			}
 		}
-		g.answer(m.job.txn, append(parts, pgwire.AppendReady(nil))...)
+		parts = append(parts, pgwire.AppendReady(nil))
+		if g.sessions != nil && g.sessions.waits(m.job.txn) {
+			g.answerLater(m.job.txn, parts...)
+			g.sessions.marks.keep(m.job.txn)
+		} else {
+			g.answer(m.job.txn, parts...)
+		}
 	}
 	g.finish(ref, r, true)
 	g.answering -= m.held
--- a/gateway/plan.go
+++ b/gateway/plan.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"magpieglade/internal/peerwire"
+	"magpieglade/ledger"
 	"magpieglade/session"
 )
 
@@ -40,7 +41,8 @@
 type LedgerPlan struct {
 	Folder       string
 	BeforeAnswer Durability
-	AtMost       int64 // nanoseconds that an answer waits for the disk; past it the ledger is no longer complete
+	AtMost       int64       // nanoseconds that an answer waits for the disk; past it the ledger is no longer complete
+	disk         ledger.Disk // nil but in tests
 }
 
 // Durability is how far a mark has come when its write is answered.
@@ -48,8 +50,7 @@
 
 const (
 	DurableNone    Durability = "none"    // nowhere: after a crash each group is fenced once
-	DurableProcess Durability = "process" // with the kernel: it survives the end of the process
-	DurableDisk    Durability = "disk"    // on the disk: it survives the end of the machine's power
+	DurableProcess Durability = "process" // with the kernel: a restart goes on from there; after a loss of power each group is fenced once
 )
 
 // check names the first value that is lacking or wrong, and completes the terms.
@@ -80,7 +81,7 @@
 		}
 	}
 	switch p.Ledger.BeforeAnswer {
-	case "", DurableNone, DurableProcess, DurableDisk:
+	case "", DurableNone, DurableProcess:
 	default:
 		return wrong("before_answer has the unknown value %q", p.Ledger.BeforeAnswer)
 	}
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -18,7 +18,8 @@
 	module *session.Sessions
 	peers  *peers // nil where there are none
 	tokens *peerwire.Wire
-	turns  int // members asked in turn while there is no primary
+	marks  *marks // nil where nothing is kept
+	turns  int    // members asked in turn while there is no primary
 	wakeAt decide.Nanos
 }
 
@@ -37,8 +38,14 @@
 // open takes the address for other gateways.
 func (s *sessions) open() (err error) {
 	run := uint32(s.g.clock.began.UnixNano() >> 16)
+	if s.plan.Ledger.Folder != "" {
+		if s.marks, err = openMarks(s, s.plan.Ledger); err != nil {
+			return err
+		}
+	}
 	if len(s.plan.Gateways) > 1 {
 		if s.peers, err = listenPeers(s.plan, run); err != nil {
+			s.close()
 			return err
 		}
 		s.tokens = s.peers.wire
@@ -60,6 +67,11 @@
 	if s.peers != nil {
 		s.peers.close()
 	}
+	if s.marks != nil {
+		if err := s.marks.close(); err != nil {
+			s.g.log.Info("ledger not closed in order", "why", err)
+		}
+	}
 }
 
 // heard tells the module what other gateways said.
@@ -126,6 +138,12 @@
 		string(s.tokens.AppendToken(nil, uint16(t.comment.Group), t.session, int64(p))))
 }
 
+// waits tells whether a write's answer is to wait for the ledger.
+func (s *sessions) waits(ref slots.Ref) bool {
+	t := s.g.txns.Get(ref)
+	return s.marks != nil && s.marks.waits && t != nil && t.writes && t.session != 0 && !t.answered
+}
+
 // repeat tells how long a keyed write may be sent; ok is false where that is over.
 func (s *sessions) repeat(t *txn, window, budget decide.Nanos) (left decide.Nanos, ok bool) {
 	until, ok := s.module.Repeat(t.comment.Group, t.key, int64(window))
@@ -167,6 +185,9 @@
 	for {
 		d, ok := s.module.Next()
 		if !ok {
+			if s.marks != nil {
+				s.marks.keep(slots.Ref{})
+			}
 			return
 		}
 		switch d.Kind {
--- a/gateway/sessions_test.go
+++ b/gateway/sessions_test.go
@@ -287,3 +287,90 @@
 	// Output:
 	// true
 }
+
+// kept is an operator's file with a ledger.
+const kept = `
+sessions {
+  tokens = "hints"
+  peers {
+    listen   = "%LISTEN%"
+    gateways = %GATEWAYS%
+    key "1" { file = "key" }
+  }
+  ledger {
+    folder        = "%DIR%"
+    before_answer = "process"
+    at_most       = "2s"
+  }
+}
+`
+
+// With a ledger that is written before it answers, a gateway that was killed goes on as if nothing had been: it needs
+// no primary to serve what it had answered. Without one it does.
+func Example_ledger() {
+	for _, before := range []string{"process", "none"} {
+		g, members := group(50*time.Millisecond, 1)
+		f := newFleet(1, strings.Replace(kept, "process", before, 1), members...)
+		c := f.front.NewClient("ab01", classes)
+		fmt.Println(c.Write(0, "h1", "1"), c.Read(0))
+		f.gateways[0].kill()
+		c.Drop(0)
+		members[0].Hang(true)
+		g.AwaitEvent(0, func(e standin.Event) bool { return e.Kind == "write" })
+		f.gateways[0].start()
+		fmt.Println(strings.Contains(f.gateways[0].readLedger, "complete=true"))
+		if before == "process" { // it may try the primary first, as it does not know yet which of them that is
+			fmt.Println(persist(c, 0))
+		} else {
+			c.Time = 400 * time.Millisecond
+			fmt.Println(c.Read(0))
+		}
+		members[0].Hang(false)
+		f.stop()
+	}
+	// Output:
+	// served 1 served 1
+	// true
+	// served 1
+	// served 1 served 1
+	// false
+	// 53300 200
+}
+
+// Gateways are killed and come back under load, with and without ledgers: nothing that was served is stale, and each
+// keyed write has its effect once.
+func TestKilledUnderLoad(t *testing.T) {
+	for name, operator := range map[string]string{"ledger": kept, "none": covered} {
+		t.Run(name, func(t *testing.T) {
+			g, members := group(150*time.Millisecond, 2)
+			f := newFleet(2, operator, members...)
+			defer f.stop()
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				served, stale, other := roam(f, 8, 60, 2)
+				t.Logf("%d served, %d stale, %v", served, stale, len(other))
+				if stale > 0 || served < 50 {
+					t.Errorf("%d served, %d stale, %v", served, stale, other)
+				}
+			}()
+			at := 0
+			for i := 0; i < 6; i++ {
+				for range 20 { // some writes later
+					_, at = g.AwaitEvent(at, func(e standin.Event) bool { return e.Kind == "write" || e.Kind == "read" })
+				}
+				p := f.gateways[i%2]
+				p.kill()
+				p.start()
+			}
+			<-done
+			for i := range 8 {
+				for k := range 60 {
+					if n := g.Effects(fmt.Sprintf("k%d-%d", i, k)); n > 1 {
+						t.Errorf("%d effects", n)
+					}
+				}
+			}
+		})
+	}
+}
--- a/gateway/txns.go
+++ b/gateway/txns.go
@@ -26,6 +26,8 @@
 	writes       bool         // it changes what its session reads
 	held         bool         // it waits for its floor, and the routing does not know it yet
 	until        decide.Nanos // of one that was held
+	waiting      []byte       // its answer, which waits for the ledger
+	early        bool         // it was answered before the ledger had its change, which still comes
 	floor        decide.Nanos // position that it must see, 0 for none or what its client brought
 }
 
@@ -122,7 +124,7 @@
 		return
 	}
 	t.answered = t.answered || answered
-	if t.answered && t.out == 0 {
+	if t.answered && t.out == 0 && !t.early {
 		delete(g.byID, t.id)
 		g.txns.Free(ref)
 	}
@@ -145,6 +147,25 @@
 	}
 }
 
+// answerLater keeps an answer, in parts that are not kept, until answerWaiting.
+func (g *Gateway) answerLater(ref slots.Ref, parts ...[]byte) {
+	if t := g.txns.Get(ref); t != nil && !t.answered {
+		t.waiting = slices.Concat(parts...)
+	}
+}
+
+// answerWaiting gives an answer that was kept.
+func (g *Gateway) answerWaiting(ref slots.Ref) {
+	t := g.txns.Get(ref)
+	if t == nil || t.waiting == nil {
+		return
+	}
+	answer := t.waiting
+	t.waiting = nil
+	g.answer(ref, answer)
+	g.settled(ref, true)
+}
+
 // decline and rollBack carry out the module's own answers.
 func (g *Gateway) decline(id uint64, after decide.Nanos) {
 	detail := ""
--- /dev/null
+++ b/internal/cli/ledger.go
@@ -0,0 +1,142 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"magpieglade/ledger"
+	"magpieglade/session"
+)
+
+type books struct {
+	Verify verify `cmd:"" help:"Read a ledger and say what is lacking: status 0 if nothing, 1 if its gateway fences after a restart."`
+	Show   show   `cmd:"" help:"List what a ledger holds."`
+}
+
+type verify struct {
+	Folder string `arg:"" type:"existingdir" help:"The ledger's folder."`
+	JSON   bool   `name:"json" help:"As JSON."`
+}
+
+// verdict is what verify tells.
+type verdict struct {
+	Complete bool   `json:"complete"`
+	Clean    bool   `json:"clean"`
+	Changes  int    `json:"changes"`
+	Torn     int64  `json:"torn_bytes"`
+	Spoilt   int    `json:"spoilt"`
+	Unread   int    `json:"unread"`
+	Verdict  string `json:"verdict"`
+	Segments []part `json:"segments"`
+}
+
+type part struct {
+	Name    string `json:"name"`
+	Bytes   int64  `json:"bytes"`
+	Records int    `json:"records"`
+	Whole   bool   `json:"whole"`
+	Torn    int64  `json:"torn_bytes"`
+	Spoilt  int    `json:"spoilt"`
+}
+
+// Run reads the folder, also while a gateway has it.
+func (v *verify) Run(out io.Writer) error {
+	f, err := ledger.Look(v.Folder)
+	if err != nil {
+		return err
+	}
+	all := verdict{Complete: f.Complete, Clean: f.Clean, Changes: len(f.Changes), Torn: f.Torn, Spoilt: f.Spoilt,
+		Unread: f.Unread, Verdict: verdictOf(f), Segments: []part{}}
+	for _, s := range f.Segments {
+		all.Segments = append(all.Segments, part{s.Name, s.Bytes, s.Records, s.Whole, s.Torn, s.Spoilt})
+	}
+	if v.JSON {
+		err = json.NewEncoder(out).Encode(all)
+	} else {
+		for _, s := range all.Segments {
+			fmt.Fprintf(out, "%s: %d bytes, %d records, whole %v, torn bytes %d, spoilt %d\n", s.Name, s.Bytes, s.Records, s.Whole, s.Torn, s.Spoilt)
+		}
+		fmt.Fprintf(out, "%d changes, %s\n", all.Changes, all.Verdict)
+	}
+	if err == nil && !f.Complete {
+		return errIncomplete
+	}
+	return err
+}
+
+var errIncomplete = fmt.Errorf("the ledger is not complete")
+
+func verdictOf(f *ledger.Found) string {
+	switch {
+	case len(f.Segments) == 0:
+		return "no ledger"
+	case f.Spoilt > 0:
+		return "spoilt: the disk or somebody has changed it; its gateway fences each group once after a restart"
+	case f.Unread > 0:
+		return "records of another version; its gateway fences each group once after a restart"
+	case f.Complete && f.Clean:
+		return "complete, ended in order"
+	case f.Complete:
+		return "complete, as its gateway answers nothing that is not written"
+	}
+	return "not complete: its gateway runs, or was killed, or the machine lost its power; it fences each group once after a restart"
+}
+
+type show struct {
+	Folder string `arg:"" type:"existingdir" help:"The ledger's folder."`
+	JSON   bool   `name:"json" help:"As JSON, a line for each change."`
+	Most   int    `default:"100" help:"So many of the latest changes; 0 is all."`
+}
+
+// line is one change as show lists it.
+type line struct {
+	Kind     string  `json:"kind"`
+	Peer     int     `json:"peer,omitempty"`
+	No       uint64  `json:"no,omitempty"`
+	Entry    string  `json:"entry,omitempty"`
+	Group    int     `json:"group"`
+	Key      string  `json:"key,omitempty"`
+	Position float64 `json:"position_ms,omitempty"`
+	Age      string  `json:"age,omitempty"`
+}
+
+// Run lists it.
+func (s *show) Run(out io.Writer) error {
+	f, err := ledger.Look(s.Folder)
+	if err != nil {
+		return err
+	}
+	changes := f.Changes
+	if s.Most > 0 && len(changes) > s.Most {
+		changes = changes[len(changes)-s.Most:]
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if !s.JSON {
+		fmt.Fprintln(table, "kind\tpeer\tno\tentry\tgroup\tkey\tposition (Unix ms)\tage")
+	}
+	for i := range changes {
+		l := lineOf(&changes[i])
+		if s.JSON {
+			if err := json.NewEncoder(out).Encode(l); err != nil {
+				return err
+			}
+			continue
+		}
+		fmt.Fprintf(table, "%s\t%d\t%d\t%s\t%d\t%s\t%.3f\t%s\n", l.Kind, l.Peer, l.No, l.Entry, l.Group, l.Key, l.Position, l.Age)
+	}
+	return table.Flush()
+}
+
+func lineOf(c *session.Change) line {
+	kinds := [...]string{"began", "noted", "heard", "caught up", "floor", "lost"}
+	l := line{Kind: kinds[c.Kind], Peer: c.Peer, No: c.No, Group: c.Entry.Group, Position: float64(c.Entry.Position) / 1e6}
+	if c.Kind == session.Noted || c.Kind == session.Heard {
+		l.Entry = [...]string{"mark", "sent"}[min(c.Entry.Kind, session.Sent)]
+		l.Key = fmt.Sprintf("%016x", c.Entry.Key)
+		l.Age = time.Duration(c.Entry.Age).Round(time.Millisecond).String()
+	}
+	return l
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -181,7 +181,7 @@
 	if p.Ledger.Folder == "" {
 		r.wrong(in.rangeOf("folder", b.DefRange), "folder is lacking", "Name a folder that outlives the process.")
 	}
-	in.oneOf("before_answer", &before, string(gateway.DurableNone), string(gateway.DurableProcess), string(gateway.DurableDisk))
+	in.oneOf("before_answer", &before, string(gateway.DurableNone), string(gateway.DurableProcess))
 	p.Ledger.BeforeAnswer, p.Ledger.AtMost = gateway.Durability(before), int64(20*time.Millisecond)
 	in.duration("at_most", &p.Ledger.AtMost, time.Millisecond)
 }
--- a/session/fences.go
+++ b/session/fences.go
@@ -151,6 +151,9 @@
 		if p > g.floor {
 			g.floor, g.floorAt = p, s.now
 		}
+		if g.fenced == s.loss {
+			s.changed(Change{Kind: Floored, Entry: Entry{Group: g.id, Position: g.floor}})
+		}
 	}
 	s.stats.Fenced += uint64(s.release(g, func(r *read) (Position, bool) {
 		if r.order > q.covers {
--- a/session/fleet_test.go
+++ b/session/fleet_test.go
@@ -25,7 +25,7 @@
 	broken   string
 	served   int
 	refused  int
-	dumps    []*State
+	kept     [][]Change // what a ledger of each gateway would hold
 }
 
 type owed struct {
@@ -44,7 +44,7 @@
 
 func newFleet(n int, terms Terms, skew []int64) *fleet {
 	f := &fleet{clock: 1e12, skew: skew, tops: map[int]Position{}, answered: map[sessionOf]Position{},
-		owed: map[uint64]owed{}, terms: terms, dumps: make([]*State, n)}
+		owed: map[uint64]owed{}, terms: terms, kept: make([][]Change, n)}
 	f.terms.Fleet = n
 	for i := range n {
 		f.gateways = append(f.gateways, nil)
@@ -60,11 +60,14 @@
 	f.epochs++
 	t := f.terms
 	t.Self = i
-	s, err := New(t, f.epochs, f.epochs<<8|uint64(i))
+	epoch := f.epochs<<8 | uint64(i)
+	s, err := New(t, f.epochs, epoch)
 	if err != nil {
 		panic(err)
 	}
-	f.gateways[i] = s
+	f.gateways[i], f.kept[i] = s, nil
+	s.Keep()
+	f.kept[i] = []Change{{Kind: Began, Epoch: epoch}}
 	for id, o := range f.owed {
 		if o.gateway == i {
 			delete(f.owed, id)
@@ -74,6 +77,18 @@
 	s.Clock(f.now(i))
 }
 
+// restore starts a gateway from what a ledger that lacks nothing would hold: a dump, or an older one and the changes
+// since.
+func (f *fleet) restore(i int, dumped bool) {
+	kept := append(f.kept[i], f.gateways[i].Changes()...)
+	if dumped {
+		kept = f.gateways[i].Dump()
+	}
+	f.start(i)
+	f.gateways[i].Restore(kept)
+	f.kept[i] = kept
+}
+
 func (f *fleet) commit(i, grp int, session uint64) {
 	f.tops[grp]++
 	p := f.tops[grp] + 1000
@@ -98,6 +113,7 @@
 	s.Clock(f.now(i))
 	for n := 0; ; n++ {
 		d, ok := s.Next()
+		f.kept[i] = append(f.kept[i], s.Changes()...)
 		if !ok {
 			return
 		}
@@ -194,9 +210,7 @@
 			f.start(gateway.Draw(t, "killed"))
 		case kind == 17: // a restart that has all it noted, or one from an older state, which must not be restored
 			i := gateway.Draw(t, "restarted")
-			st := f.gateways[i].Dump()
-			f.start(i)
-			f.gateways[i].Restore(st)
+			f.restore(i, rapid.Bool().Draw(t, "dumped"))
 		case kind == 18: // all that is on its way comes, in order
 			for len(f.mail) > 0 && f.broken == "" {
 				f.deliver(0, false)
--- a/session/marks.go
+++ b/session/marks.go
@@ -28,8 +28,7 @@
 // note raises a session's mark. A commit that did not tell its position lies under the next fence.
 func (s *Sessions) note(grp int, session uint64, p Position) {
 	if p <= 0 {
-		s.loss++
-		s.stats.Losses++
+		s.lose()
 		return
 	}
 	of := sessionOf{grp, session}
@@ -103,82 +102,3 @@
 	}
 	g.topAt = max(g.topAt, at)
 }
-
-// State is what a restart needs in order to go on as if nothing had been.
-type State struct {
-	Epoch, Last uint64
-	Marks       []Entry // of all gateways, by age, oldest first
-	Keys        []Entry
-	Notes       []Entry // of this gateway, the last of which has the number Last
-	Floors      []Floor
-	Peers       []Coverage
-}
-
-// Floor is the floor of a group.
-type Floor struct {
-	Group    int
-	Position Position
-}
-
-// Coverage says up to which number another gateway's notes are held, without a gap since they were first heard of.
-type Coverage struct {
-	Peer  int
-	Epoch uint64
-	Upto  uint64
-}
-
-// Dump gives the state.
-func (s *Sessions) Dump() State {
-	st := State{Epoch: s.epoch, Last: s.notes.last}
-	for _, a := range s.marks.line {
-		if held := s.marks.held[a.of]; held.at == a.at && held.position > 0 {
-			st.Marks = append(st.Marks, Entry{Kind: Mark, Group: a.of.group, Key: a.of.session,
-				Position: held.position, Age: s.now - a.at})
-		}
-	}
-	for _, n := range s.notes.ring {
-		e := n.Entry
-		e.Age = s.now - n.at
-		st.Notes = append(st.Notes, e)
-	}
-	for _, key := range s.keys.line {
-		held := s.keys.held[key]
-		st.Keys = append(st.Keys, Entry{Kind: Sent, Group: held.group, Key: key, Age: s.now - held.first})
-	}
-	for _, g := range s.groups {
-		if g.fenced == s.loss {
-			st.Floors = append(st.Floors, Floor{g.id, g.floor})
-		}
-	}
-	for i := range s.peers {
-		if p := &s.peers[i]; p.known && i != s.terms.Self {
-			st.Peers = append(st.Peers, Coverage{i, p.epoch, p.upto})
-		}
-	}
-	return st
-}
-
-// Restore takes a state that is known to be complete: nothing was answered after it was dumped that it lacks. It is
-// to be called before the first round's inputs, after Clock. Groups that it has no floor of are fenced as at a first
-// start.
-func (s *Sessions) Restore(st State) {
-	s.epoch, s.notes.last = st.Epoch, st.Last
-	for _, e := range st.Marks {
-		s.note(e.Group, e.Key, e.Position)
-	}
-	for _, e := range st.Keys {
-		s.keys.note(e.Group, e.Key, s.now-e.Age, s.now)
-	}
-	for _, e := range st.Notes {
-		s.notes.ring = append(s.notes.ring, noted{e, s.now - e.Age})
-	}
-	for _, f := range st.Floors {
-		g := s.groupOf(f.Group)
-		g.floor, g.floorAt, g.fenced = f.Position, s.now, s.loss
-	}
-	for _, c := range st.Peers {
-		if c.Peer >= 0 && c.Peer < len(s.peers) && c.Peer != s.terms.Self {
-			s.peers[c.Peer] = peer{known: true, epoch: c.Epoch, upto: c.Upto}
-		}
-	}
-}
--- a/session/peers.go
+++ b/session/peers.go
@@ -34,13 +34,17 @@
 }
 
 func (s *Sessions) append(e Entry) {
+	n := &s.notes
+	n.last++
+	s.changed(Change{Kind: Noted, No: n.last, Entry: e})
 	if s.terms.Fleet == 1 {
-		s.notes.last++
 		return
 	}
-	n := &s.notes
-	n.last++
 	n.ring = append(n.ring, noted{e, s.now})
+	n.trim()
+}
+
+func (n *notes) trim() {
 	if len(n.ring) >= 2*ringSize {
 		n.ring = append([]noted(nil), n.ring[len(n.ring)-ringSize:]...)
 	}
@@ -132,6 +136,7 @@
 	}
 	if end := page.First + uint64(len(page.Entries)); page.First <= p.upto+1 && end > p.upto+1 {
 		p.upto = end - 1
+		s.changed(Change{Kind: Caught, Peer: from, Epoch: p.epoch, No: p.upto})
 	}
 	if since < 0 {
 		return
@@ -155,12 +160,13 @@
 		s.log("gateway %d: notes lost from %d to %d, each group is fenced once", from, p.upto, page.Last)
 	}
 	p.known, p.epoch, p.upto = true, page.Epoch, page.Last
-	s.loss++
-	s.stats.Losses++
+	s.lose()
+	s.changed(Change{Kind: Caught, Peer: from, Epoch: p.epoch, No: p.upto})
 }
 
 // learn takes what a peer noted. since is when the question for it went out, negative for none.
 func (s *Sessions) learn(e *Entry, age, since int64) {
+	s.changed(Change{Kind: Heard, Entry: *e})
 	switch e.Kind {
 	case Mark:
 		s.note(e.Group, e.Key, e.Position)
--- a/session/session.go
+++ b/session/session.go
@@ -171,6 +171,9 @@
 	credit float64 // messages that may be sent
 	earned int64   // when the last of it was earned by time
 
+	keeps   bool
+	changes []Change
+
 	out   []Decision
 	lines []string
 	wake  int64
