Sessions measured in simulated time; questions are put again, large fleets are fenced

Where a question to all can never be within the budget nothing is told but keyed writes. Loopback benchmark of two gateways: off, covered, fenced, with a ledger.

--- a/gateway/sessions_test.go
+++ b/gateway/sessions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -374,3 +375,54 @@
 		})
 	}
 }
+
+// What sessions cost: two gateways, replicas 20 ms behind, clients that write and then read at the other gateway; read
+// latencies and the gateways' processor time a txn. Without an operator's file, and with what clients bring, nothing is
+// covered across gateways.
+func BenchmarkRoam(b *testing.B) {
+	for _, c := range []struct{ name, operator string }{
+		{"off", ""}, {"covered", covered}, {"fenced", strings.Replace(covered, "tokens", "source = \"fenced\"\n  tokens", 1)}, {"ledger", kept},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			_, members := group(20*time.Millisecond, 2)
+			f := newFleet(2, c.operator, members...)
+			var took []time.Duration
+			var mu sync.Mutex
+			txns := 0
+			for b.Loop() {
+				var wg sync.WaitGroup
+				for i := range 8 {
+					wg.Add(1)
+					go func() {
+						defer wg.Done()
+						cl := f.front.NewClient(fmt.Sprintf("%08x", 0x100+i), classes)
+						defer cl.Close()
+						for k := range 50 {
+							w := cl.Write(k%2, fmt.Sprint("b", ids.Add(1)), "1")
+							r := cl.Read((k + 1) % 2)
+							mu.Lock()
+							if w.Code+r.Code != "" || w.Err != nil || r.Err != nil {
+								b.Error(w, r)
+							}
+							took = append(took, r.Took)
+							txns += 2
+							mu.Unlock()
+						}
+					}()
+				}
+				wg.Wait()
+			}
+			var spent time.Duration
+			for _, p := range f.gateways {
+				cmd := p.cmd
+				p.kill()
+				spent += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+			}
+			f.stop()
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+			b.ReportMetric(float64(spent.Microseconds())/float64(txns), "cpu-us/txn")
+		})
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -21,6 +21,8 @@
 	Serve  serve  `cmd:"" default:"withargs" help:"Serve as a gateway. The platform's configuration is in the file that EDGE_CONFIG names."`
 	Config config `cmd:"" help:"Look at an operator's file."`
 	Ledger books  `cmd:"" help:"Look at the ledger of sessions' marks."`
+
+	Measure measure `cmd:"" help:"Play and measure parts of the program."`
 }
 
 type config struct {
--- a/session/fences.go
+++ b/session/fences.go
@@ -44,8 +44,10 @@
 type round struct {
 	began  int64 // 0 while there is none
 	covers uint64
-	nos    []uint64 // by peer, 0 once its notes are held to the last
+	after  uint64 // questions with a higher number belong to it
+	lacks  []bool // by peer: its notes are not yet held to the last
 	open   int
+	tries  int
 }
 
 func (s *Sessions) groupOf(id int) *group {
@@ -182,6 +184,7 @@
 
 // decideReads looks at the reads that wait: what can be answered, what must be asked, what is out of time.
 func (s *Sessions) decideReads() {
+	s.repeatRound()
 	s.roundOverdue()
 	wantsRound := false
 	for _, g := range s.groups {
@@ -240,7 +243,7 @@
 
 // roundServes tells whether the other gateways are to be asked for a group's reads, rather than its primary.
 func (s *Sessions) roundServes(g *group) bool {
-	if s.terms.Fleet == 1 || s.terms.Source != Covered || g.fenced != s.loss || len(g.fences) > 0 {
+	if !s.asksAll() || g.fenced != s.loss || len(g.fences) > 0 {
 		return false
 	}
 	for i := range s.peers {
@@ -275,21 +278,38 @@
 
 // beginRound asks all other gateways what they noted.
 func (s *Sessions) beginRound() {
-	s.round = round{began: s.now, covers: s.order, nos: make([]uint64, len(s.peers))}
+	s.round = round{began: s.now, covers: s.order, after: s.nonce, lacks: make([]bool, len(s.peers)), tries: 1}
 	for i := range s.peers {
 		if s.isPeer(i) {
-			s.round.nos[i] = s.ask(i)
+			s.ask(i)
+			s.round.lacks[i] = true
 			s.round.open++
 		}
 	}
 }
 
+// repeatAt is when those that have not answered are asked again: a message may be lost.
+func (r *round) repeatAt(wait int64) int64 { return r.began + wait*int64(r.tries)/roundTries }
+
+func (s *Sessions) repeatRound() {
+	r := &s.round
+	if r.began == 0 || r.tries >= roundTries || s.now < r.repeatAt(s.terms.PeerWait) || s.now-r.began >= s.terms.PeerWait {
+		return
+	}
+	r.tries++
+	for i, lacks := range r.lacks {
+		if lacks && s.credit >= 2 {
+			s.ask(i)
+		}
+	}
+}
+
 // roundHeard takes an answer to a round's question.
 func (s *Sessions) roundHeard(from int, no uint64, whole bool) {
-	if s.round.began == 0 || s.round.nos[from] != no || !whole {
+	if s.round.began == 0 || no <= s.round.after || !s.round.lacks[from] || !whole {
 		return
 	}
-	s.round.nos[from] = 0
+	s.round.lacks[from] = false
 	if s.round.open--; s.round.open > 0 {
 		return
 	}
@@ -310,9 +330,9 @@
 	}
 	began := s.round.began
 	s.round.began = 0
-	for i, no := range s.round.nos {
-		if p := &s.peers[i]; no != 0 && !p.silent && p.heardAt < began {
-			p.silent, p.silentAt = true, s.now
+	for i, lacks := range s.round.lacks {
+		if p := &s.peers[i]; lacks && !p.silent && p.heardAt < began {
+			p.silent, p.silentAt, p.retry = true, s.now, s.terms.PeerWait
 			s.log("gateway %d does not answer, reads are fenced, notes held to %d", i, p.upto)
 		}
 	}
@@ -339,12 +359,12 @@
 		}
 	}
 	if s.round.began > 0 {
-		by(s.round.began + s.terms.PeerWait)
+		by(min(s.round.repeatAt(s.terms.PeerWait), s.round.began+s.terms.PeerWait))
 	}
-	if s.terms.Fleet > 1 && s.terms.Source == Covered {
+	if s.terms.Fleet > 1 {
 		for i := range s.peers {
-			if s.isPeer(i) {
-				by(max(s.now+slowWake, s.peers[i].askedAt+s.keepalive()))
+			if s.asksAll() && s.isPeer(i) {
+				by(max(s.now+slowWake, s.peers[i].askedAt+s.keepalive(&s.peers[i])))
 			}
 		}
 		if n := &s.notes; n.pushed < n.last {
--- a/session/peers.go
+++ b/session/peers.go
@@ -13,6 +13,7 @@
 	askedNo  int
 	wrong    uint64 // pages of another epoch that nobody asked for
 	silentAt int64
+	retry    int64 // after which one that is silent is asked again, longer each time
 }
 
 // asked is a question under way.
@@ -34,6 +35,10 @@
 }
 
 func (s *Sessions) append(e Entry) {
+	if e.Kind == Mark && s.terms.Fleet > 1 && !s.asksAll() { // nobody asks for it
+		s.changed(Change{Kind: Heard, Entry: e})
+		return
+	}
 	n := &s.notes
 	n.last++
 	s.changed(Change{Kind: Noted, No: n.last, Entry: e})
@@ -93,7 +98,7 @@
 	s.out = append(s.out, Decision{Kind: Tell, Peer: to, No: no, Page: p})
 }
 
-func (s *Sessions) ask(to int) uint64 {
+func (s *Sessions) ask(to int) {
 	p := &s.peers[to]
 	s.nonce++
 	p.askedAt = s.now
@@ -102,7 +107,6 @@
 	s.stats.Asks++
 	s.credit -= 2
 	s.out = append(s.out, Decision{Kind: Ask, Peer: to, No: s.nonce, Page: Page{Epoch: p.epoch, Last: p.upto}})
-	return s.nonce
 }
 
 func (s *Sessions) isPeer(i int) bool { return i >= 0 && i < len(s.peers) && i != s.terms.Self }
@@ -126,6 +130,11 @@
 		s.adopt(from, page)
 	default: // only an answer to a question of this run tells which run of its gateway goes on
 		p.wrong++
+		for i := range page.Entries {
+			if e := &page.Entries[i]; e.Kind == Sent { // true of any run
+				s.learn(e, max(0, e.Age), since)
+			}
+		}
 		return
 	}
 	p.heardAt = s.now
@@ -182,7 +191,7 @@
 // push tells all peers what was noted, where the budget allows it. Nothing depends on it: it saves questions later.
 func (s *Sessions) push() {
 	n := &s.notes
-	if s.terms.Fleet == 1 || s.terms.Source != Covered || n.pushed == n.last {
+	if s.terms.Fleet == 1 || s.terms.Source == Own || n.pushed == n.last {
 		return
 	}
 	n.pushed = max(n.pushed, n.last-uint64(len(n.ring)))
@@ -205,19 +214,24 @@
 
 // keepAlive asks peers that were not asked for a while: that tells who is there, and fills gaps.
 func (s *Sessions) keepAlive() {
-	if s.terms.Fleet == 1 || s.terms.Source != Covered {
+	if !s.asksAll() {
 		return
 	}
 	for i := range s.peers {
-		if p := &s.peers[i]; s.isPeer(i) && s.now-p.askedAt >= s.keepalive() && s.credit >= 2 {
+		if p := &s.peers[i]; s.isPeer(i) && s.now-p.askedAt >= s.keepalive(p) && s.credit >= 2 {
+			p.retry *= 2
 			s.ask(i)
 		}
 	}
 }
 
-// keepalive grows with the fleet, so that what it costs a gateway does not.
-func (s *Sessions) keepalive() int64 {
-	return max(s.terms.Keepalive, int64(float64(4*s.terms.Fleet)/idleRate*1e9))
+// keepalive is how often a peer is asked. It grows with the fleet, so that what it costs a gateway does not.
+func (s *Sessions) keepalive(p *peer) int64 {
+	span := max(s.terms.Keepalive, int64(float64(4*s.terms.Fleet)/idleRate*1e9))
+	if p.silent {
+		return min(span, p.retry)
+	}
+	return span
 }
 
 // Coverage lists what is known of each peer, for metrics and the on-call.
--- a/session/session.go
+++ b/session/session.go
@@ -134,6 +134,8 @@
 const (
 	settle     = 1e9  // a mark that its primary has not reached this long after it was told is out of reach
 	pageSize   = 8    // entries of one message of 256 bytes
+	roundTxns  = 16   // txns whose messages a question to all may cost at the most; fleets too large for it are fenced
+	roundTries = 3    // times that a question to all is put to who has not answered
 	catchUp    = 4    // pages that answer one question; who lacks more is fenced instead
 	ringSize   = 4096 // entries that are kept to be told again
 	pushAfter  = 2e6  // an entry is told unasked after this span, or once a page is full
@@ -200,13 +202,20 @@
 	}
 	s := &Sessions{terms: t, epoch: epoch, rng: rand.New(rand.NewPCG(seed, epoch)), byID: map[int]*group{},
 		reads: map[uint64]*read{}, peers: make([]peer, t.Fleet), loss: 1}
-	s.nonce = s.rng.Uint64() | 1
+	s.nonce = s.rng.Uint64() >> 1 // it only rises
 	s.marks.init()
 	s.keys.init()
 	s.credit = s.mostCredit()
 	return s, nil
 }
 
+// asksAll tells whether a question to all gateways is within what their txns allow. Where it never is, marks are not
+// told to one another either: a fence covers every read.
+func (s *Sessions) asksAll() bool {
+	return s.terms.Source == Covered && s.terms.Fleet > 1 &&
+		float64(2*(s.terms.Fleet-1)) <= roundTxns*s.terms.MessagesPerTxn
+}
+
 // Clock begins a round.
 func (s *Sessions) Clock(now int64) {
 	if s.earned == 0 {
--- a/session/trace_test.go
+++ b/session/trace_test.go
@@ -5,7 +5,9 @@
 // trace drives one gateway of a fleet of three, the first, and prints what it decides.
 type trace struct {
 	s        *Sessions
-	complete bool // what clients bring covers all that their sessions wrote
+	complete bool   // what clients bring covers all that their sessions wrote
+	fence    uint64 // the latest
+	asks     [3]uint64
 }
 
 func open(change ...func(*Terms)) *trace {
@@ -37,8 +39,10 @@
 		case Refuse:
 			fmt.Println("refuse", d.Read, "for", d.After/1e6)
 		case Fence:
+			t.fence = d.No
 			fmt.Println("fence group", d.Group, "no", d.No)
 		case Ask:
+			t.asks[d.Peer] = d.No
 			fmt.Println("ask", d.Peer, "no", d.No, "behind", d.Page.Last, "of", d.Page.Epoch)
 		case Tell:
 			fmt.Println("tell", d.Peer, "no", d.No, len(d.Page.Entries), "entries from", d.Page.First, "last", d.Page.Last)
@@ -55,7 +59,12 @@
 	return t
 }
 
-func (t *trace) told(from int, no, epoch, last uint64, first uint64, marks ...Position) *trace {
+// told answers the latest question to a peer, or has it say something unasked.
+func (t *trace) told(from int, asked bool, epoch, last uint64, first uint64, marks ...Position) *trace {
+	no := uint64(0)
+	if asked {
+		no = t.asks[from]
+	}
 	p := Page{Epoch: epoch, Last: last, First: first}
 	for _, m := range marks {
 		p.Entries = append(p.Entries, Entry{Kind: Mark, Key: 7, Position: m})
@@ -64,83 +73,119 @@
 	return t
 }
 
+// fenced answers the latest fence.
+func (t *trace) fenced(p Position) *trace {
+	t.s.Fenced(0, t.fence, p)
+	return t
+}
+
+// quiet takes decisions without printing them.
+func (t *trace) quiet() *trace {
+	for d, ok := t.s.Next(); ok; d, ok = t.s.Next() {
+		switch d.Kind {
+		case Fence:
+			t.fence = d.No
+		case Ask:
+			t.asks[d.Peer] = d.No
+		}
+	}
+	return t
+}
+
 // known is a gateway that has heard of both others, and of its group's primary since.
 func known(change ...func(*Terms)) *trace {
 	t := open(change...)
-	for _, ok := t.s.Next(); ok; _, ok = t.s.Next() {
-	}
-	t.told(1, 1, 201, 0, 1).told(2, 2, 301, 0, 1)
+	t.quiet()
+	t.told(1, true, 201, 0, 1).told(2, true, 301, 0, 1)
 	t.read(99, 7, 0)
-	for _, ok := t.s.Next(); ok; _, ok = t.s.Next() {
-	}
-	t.s.Fenced(0, 3, 5000)
-	for _, ok := t.s.Next(); ok; _, ok = t.s.Next() {
-	}
+	t.quiet()
+	t.fenced(5000)
+	t.quiet()
 	return t
 }
 
 // A fresh gateway asks the primary; what came before the first word of the others lies under that fence.
 func Example_freshGateway() {
 	t := open().read(1, 7, 0).pull()
-	t.at(1001).told(1, 1, 201, 40, 41).told(2, 2, 301, 12, 13).pull()
-	t.at(1002).s.Fenced(0, 3, 5000) // asked for before the last loss: it covers the read, not the group
+	t.at(1001).told(1, true, 201, 40, 41).told(2, true, 301, 12, 13).pull()
+	t.at(1002).fenced(5000) // asked for before the last loss: it covers the read, not the group
 	t.pull().read(2, 7, 0).pull()
-	t.at(1003).s.Fenced(0, 4, 6000)
+	t.at(1003).fenced(6000)
 	t.pull().read(3, 7, 0).pull()
 	// Output:
 	// 1000 fence group 0 no 1
 	// 1000 ask 1 no 2 behind 0 of 0
 	// 1000 ask 2 no 3 behind 0 of 0
 	// 1000 wake after 50
+	// 1002 serve 1 from 5000
+	// 1002 fence group 0 no 4
+	// 1003 serve 2 from 6000
+	// 1003 ask 1 no 5 behind 40 of 201
+	// 1003 ask 2 no 6 behind 12 of 301
+	// 1003 wake after 3
 }
 
 // One question to both others serves all reads that wait when it goes out; later ones wait for the next.
 func Example_round() {
 	t := known().at(1100).read(1, 7, 0).read(2, 8, 0).pull()
 	t.read(3, 8, 0).pull()
-	t.at(1101).told(1, 4, 201, 2, 1, 7000, 8000).told(2, 5, 301, 0, 1).pull()
+	t.at(1101).told(1, true, 201, 2, 1, 7000, 8000).told(2, true, 301, 0, 1).pull()
 	// Output:
 	// 1100 ask 1 no 4 behind 0 of 201
 	// 1100 ask 2 no 5 behind 0 of 301
-	// 1100 wake after 10
+	// 1100 wake after 3
 	// 1101 serve 1 from 8000
 	// 1101 serve 2 from 5000
 	// 1101 ask 1 no 6 behind 2 of 201
 	// 1101 ask 2 no 7 behind 0 of 301
 }
 
+// A message is lost: who has not answered is asked again within the round, and either answer will do.
+func Example_lostMessage() {
+	t := known().at(1100).read(1, 7, 0).pull()
+	t.told(2, true, 301, 0, 1).at(1104).pull()
+	t.at(1105).told(1, true, 201, 1, 1, 7000).pull()
+	// Output:
+	// 1100 ask 1 no 4 behind 0 of 201
+	// 1100 ask 2 no 5 behind 0 of 301
+	// 1100 wake after 3
+	// 1104 ask 1 no 6 behind 0 of 201
+	// 1104 wake after 2
+	// 1105 serve 1 from 7000
+}
+
 // Of several pages one is lost: the round is not over before the gap is filled, by the next question.
 func Example_gap() {
 	t := known().at(1100).read(1, 7, 0).pull()
-	t.at(1101).told(2, 5, 301, 0, 1).told(1, 4, 201, 10, 9, 7000, 8000).pull()
+	t.at(1101).told(2, true, 301, 0, 1).told(1, true, 201, 10, 9, 7000, 8000).pull()
 	t.at(1111).pull()
-	t.at(1112).s.Fenced(0, 6, 9000)
+	t.at(1112).fenced(9000)
 	t.pull().at(1120).read(2, 7, 0).pull()
-	t.at(1121).told(2, 8, 301, 0, 1).told(1, 7, 201, 10, 1, 1, 1, 1, 1, 1, 1, 1, 1).told(1, 7, 201, 10, 9, 7000, 8000).pull()
+	t.at(1121).told(2, true, 301, 0, 1).told(1, true, 201, 10, 1, 1, 1, 1, 1, 1, 1, 1, 1).told(1, true, 201, 10, 9, 7000, 8000).pull()
 	// Output:
 	// 1100 ask 1 no 4 behind 0 of 201
 	// 1100 ask 2 no 5 behind 0 of 301
-	// 1100 wake after 10
+	// 1100 wake after 3
 	// 1111 fence group 0 no 6
 	// 1111 wake after 50
 	// 1112 serve 1 from 9000
 	// 1120 ask 1 no 7 behind 0 of 201
 	// 1120 ask 2 no 8 behind 0 of 301
-	// 1120 wake after 10
+	// 1120 wake after 3
 	// 1121 serve 2 from 8000
 }
 
 // A page of another run that nobody asked for changes nothing; as an answer it is a loss, and each group is fenced
 // once.
 func Example_otherEpoch() {
-	t := known().at(1100).told(1, 0, 777, 9, 9, 8000).read(1, 7, 0).pull()
-	t.at(1101).told(1, 4, 202, 0, 1).told(2, 5, 301, 0, 1).pull()
-	t.at(1102).s.Fenced(0, 6, 9000)
+	t := known().at(1100).told(1, false, 777, 9, 9, 8000).read(1, 7, 0).pull()
+	t.at(1101).told(1, true, 202, 0, 1).told(2, true, 301, 0, 1).pull()
+	t.at(1102).fenced(9000)
 	t.pull()
 	// Output:
 	// 1100 ask 1 no 4 behind 0 of 201
 	// 1100 ask 2 no 5 behind 0 of 301
-	// 1100 wake after 10
+	// 1100 wake after 3
 	// 1101 log: gateway 1: notes lost from 0 to 0, each group is fenced once
 	// 1101 fence group 0 no 6
 	// 1102 serve 1 from 9000
@@ -149,8 +194,8 @@
 // A fence that was asked for before a loss covers the reads that waited for it, but not what was lost.
 func Example_lossMeanwhile() {
 	t := open().read(1, 7, 0).pull()
-	t.told(1, 2, 201, 5, 6).at(1005)
-	t.s.Fenced(0, 1, 5000)
+	t.told(1, true, 201, 5, 6).at(1005)
+	t.fenced(5000)
 	t.pull().read(2, 7, 0).pull()
 	// Output:
 	// 1000 fence group 0 no 1
@@ -164,28 +209,29 @@
 // A gateway that does not answer costs the reads their round once, then a fence each, until it answers again.
 func Example_silentPeer() {
 	t := known().at(1100).read(1, 7, 0).pull()
-	t.at(1101).told(2, 5, 301, 0, 1).at(1110).pull()
-	t.at(1111).s.Fenced(0, 6, 9000)
+	t.at(1101).told(2, true, 301, 0, 1).at(1110).pull()
+	t.at(1111).fenced(9000)
 	t.pull().at(1120).read(2, 7, 0).pull()
-	t.at(1121).s.Fenced(0, 7, 9100)
-	t.pull().at(1400).pull().told(1, 8, 201, 0, 1).read(3, 7, 0).pull()
+	t.at(1121).fenced(9100)
+	t.pull().at(1400).pull().told(1, true, 201, 0, 1).read(3, 7, 0).pull()
 	// Output:
 	// 1100 ask 1 no 4 behind 0 of 201
 	// 1100 ask 2 no 5 behind 0 of 301
-	// 1100 wake after 10
+	// 1100 wake after 3
 	// 1110 log: gateway 1 does not answer, reads are fenced, notes held to 0
 	// 1110 fence group 0 no 6
-	// 1110 wake after 50
+	// 1110 ask 1 no 7 behind 0 of 201
+	// 1110 wake after 20
 	// 1111 serve 1 from 9000
-	// 1120 fence group 0 no 7
+	// 1120 fence group 0 no 8
 	// 1121 serve 2 from 9100
-	// 1400 ask 1 no 8 behind 0 of 201
-	// 1400 ask 2 no 9 behind 0 of 301
-	// 1400 wake after 250
+	// 1400 ask 1 no 9 behind 0 of 201
+	// 1400 ask 2 no 10 behind 0 of 301
+	// 1400 wake after 40
 	// 1400 log: gateway 1 answers again after 290 ms, notes held to 0 of 0
-	// 1400 ask 1 no 10 behind 0 of 201
-	// 1400 ask 2 no 11 behind 0 of 301
-	// 1400 wake after 10
+	// 1400 ask 1 no 11 behind 0 of 201
+	// 1400 ask 2 no 12 behind 0 of 301
+	// 1400 wake after 3
 }
 
 // No primary tells its position: reads wait for its successor as long as their time allows, then are refused with
@@ -218,7 +264,7 @@
 	t := known().at(1100)
 	t.complete = true
 	t.read(1, 7, 4000).read(2, 7, 0).read(3, 7, 999e15).pull()
-	t.at(1101).s.Fenced(0, 4, 9000)
+	t.at(1101).fenced(9000)
 	t.pull()
 	// Output:
 	// 1100 serve 1 from 4000
@@ -232,12 +278,12 @@
 // switch. Until then reads are the primary's.
 func Example_lostCommit() {
 	t := open(func(t *Terms) { t.Fleet = 1 }).read(1, 7, 0).pull()
-	t.s.Fenced(0, 1, 5e9)
+	t.fenced(5e9)
 	t.pull().s.Committed(0, 7, 9e9) // the primary dies with it, and its successor stands at 6 s
 	t.at(1500).read(2, 7, 0).pull()
 	t.at(2600).read(3, 8, 0).pull()
 	t.at(2700).s.Committed(0, 8, 6e9)
-	t.read(4, 7, 0).pull().at(2701).s.Fenced(0, 2, 61e8)
+	t.read(4, 7, 0).pull().at(2701).fenced(61e8)
 	t.pull().at(12600).read(5, 9, 0).pull()
 	// Output:
 	// 1000 fence group 0 no 1
@@ -255,8 +301,8 @@
 func Example_commitWithoutPosition() {
 	t := known()
 	t.s.Committed(0, 7, 0)
-	t.read(1, 7, 0).pull().told(1, 0, 201, 1, 1, 0).at(1001)
-	t.s.Fenced(0, 4, 6000)
+	t.read(1, 7, 0).pull().told(1, false, 201, 1, 1, 0).at(1001)
+	t.fenced(6000)
 	t.pull().read(2, 7, 0).pull()
 	// Output:
 	// 1000 fence group 0 no 4
