--- /dev/null
+++ b/deploy/operator.hcl
@@ -0,0 +1,38 @@
+# The operator's own file: what the platform's configuration does not know of. Nothing here is on unless it is written.
+# magpieglade config check FILE names each mistake; magpieglade serve --operator FILE starts with it.
+
+# How far the clocks of machines may differ. Positions of members from further ahead are not believed. Default "0s".
+clock_error = "0s"
+
+# What a session wrote through any gateway is seen through all: docs/sessions.md.
+sessions {
+  source = "covered" # "fenced": ask the primary for each read; "own": this gateway's own writes alone, unsound
+
+  # What clients bring as after=: "hints" may raise what a read must see, "complete" covers all that its session wrote,
+  # "signed" the same, for tokens that a gateway gave (parameter session_token, brought back as at=). Default "hints".
+  tokens = "hints"
+
+  span        = "10s"  # a mark is kept for so long, then its group's floor takes its place
+  key_span    = "60s"  # the key of a write that was sent is known for so long
+  most_marks  = 100000 # about 100 bytes each
+  fence_wait  = "50ms" # a primary that has not told its position is asked again
+  retry_after = "200ms" # what clients are told whose reads could not be covered in their time
+
+  # Other gateways, by UDP.
+  # peers {
+  #   listen           = "10.0.0.4:7946"
+  #   gateways         = ["10.0.0.4:7946", "10.0.0.5:7946"] # all of them, in the same order everywhere
+  #   messages_per_txn = 4
+  #   peer_wait        = "10ms"  # a question to all may take so long, then the primary is asked
+  #   keepalive        = "250ms" # each is asked at least this often
+  #   key "2" { file = "peer-2.key" }         # signs; hexadecimal, 16 bytes or more
+  #   key "1" { variable = "MAGPIEGLADE_KEY" } # still valid
+  # }
+
+  # Marks over a restart.
+  # ledger {
+  #   folder        = "/var/lib/magpieglade"
+  #   before_answer = "none" # "process": a mark is with the kernel before its write is answered
+  #   at_most       = "20ms" # but no answer waits longer
+  # }
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,112 @@
+package operator
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// Each mistake is told with file, line and column, and the way out; all of a file's at once.
+func Example_mistakes() {
+	for _, text := range []string{
+		"",
+		"sessions {}",
+		`clock_error = "3s"`,
+		"clock_error = 3",
+		`clock_error = "-1s"`,
+		"sessions {",
+		"sesions {}",
+		"sessions {}\nsessions {}",
+		"sessions {\n  source = \"cover\"\n}",
+		"sessions {\n  span = \"1ms\"\n  most_marks = 0\n}",
+		"sessions {\n  most_marks = 1.5\n}",
+		"sessions {\n  tokens = \"signed\"\n}",
+		"sessions {\n  peers {\n    gateways = [\"10.0.0.4:7946\", \"x\"]\n  }\n}",
+		"sessions {\n  peers {\n    listen = \"10.0.0.6:1\"\n    gateways = [\"10.0.0.4:7946\", \"10.0.0.5:7946\"]\n  }\n}",
+		"sessions {\n  peers {\n    listen = \"[::1]:1\"\n    messages_per_txn = -1\n  }\n}",
+		"sessions {\n  peers {\n    key \"x\" { file = \"a\" }\n    key \"1\" {}\n    key \"2\" { variable = \"NO_SUCH\" }\n    key \"3\" { file = \"nowhere\" }\n  }\n}",
+		"sessions {\n  ledger {\n    before_answer = \"often\"\n    at_most = \"0s\"\n  }\n}",
+		"sessions {\n  ledger { folder = \"/x\" }\n  ledger { folder = \"/x\" }\n}",
+	} {
+		_, err := Parse([]byte(text), "operator.hcl")
+		if err != nil {
+			fmt.Println(err)
+		} else {
+			fmt.Println("good")
+		}
+	}
+	// Output:
+	// good
+	// good
+	// good
+	// operator.hcl:1:15: clock_error is no span of at least 0s: Write it as "20ms" or "10s".
+	// operator.hcl:1:15: clock_error is no span of at least 0s: Write it as "20ms" or "10s".
+	// operator.hcl:1:10: Unclosed configuration block: There is no closing brace for this block before the end of the file. This may be caused by incorrect brace nesting elsewhere in this file.
+	// operator.hcl:1:1: Unsupported block type: Blocks of type "sesions" are not expected here. Did you mean "sessions"?
+	// operator.hcl:2:1: a second block of sessions: There may be one.
+	// operator.hcl:2:12: source has the unknown value "cover": It is one of covered, fenced, own.
+	// operator.hcl:2:10: span is no span of at least 1s: Write it as "20ms" or "10s".
+	// operator.hcl:3:16: most_marks is out of range: It is from 1 to 10000000.
+	// operator.hcl:2:16: Unsuitable value type: Unsuitable value: value must be a whole number, between -9223372036854775808 and 9223372036854775807
+	// operator.hcl:2:12: signed tokens need a key: Give the block peers with a block key.
+	// operator.hcl:3:16: "x" is no IPv4 address with a port: Write it as 10.0.0.4:7946.
+	// operator.hcl:4:16: the list lacks 10.0.0.6:1, at which this gateway listens: Name all gateways, this one among them.
+	// operator.hcl:2:3: a key is lacking: Gateways believe one another by a key that they share: key "1" { file = "..." }.
+	// operator.hcl:3:14: listen is no IPv4 address with a port: Write it as 10.0.0.4:7946.
+	// operator.hcl:4:24: messages_per_txn is out of range: It is from 0 to 1000.
+	// operator.hcl:3:9: the name of a key is a number from 0 to 255: As in key "1".
+	// operator.hcl:4:5: a key has either a file or a variable: Give one of them.
+	// operator.hcl:5:26: the key is not at least 16 bytes in hexadecimal: Make one with: openssl rand -hex 32.
+	// operator.hcl:6:22: the key can't be read: open nowhere: no such file or directory
+	// operator.hcl:2:3: folder is lacking: Name a folder that outlives the process.
+	// operator.hcl:3:21: before_answer has the unknown value "often": It is one of none, process.
+	// operator.hcl:4:15: at_most is no span of at least 1ms: Write it as "20ms" or "10s".
+	// operator.hcl:3:3: a second block of ledger: There may be one.
+}
+
+// The example in deploy/ is good, and what it says are the defaults.
+func TestAnnotatedExample(t *testing.T) {
+	f, err := Read("../../deploy/operator.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	plain, err := Parse([]byte("sessions {}"), "x")
+	if err != nil || fmt.Sprintf("%+v", *f.Sessions) != fmt.Sprintf("%+v", *plain.Sessions) {
+		t.Fatalf("%+v %+v %v", f.Sessions, plain.Sessions, err)
+	}
+}
+
+// Keys come from files beside the operator's file, or from the environment.
+func TestKeys(t *testing.T) {
+	dir := t.TempDir()
+	t.Setenv("SOME_KEY", strings.Repeat("cd", 16))
+	if err := os.WriteFile(filepath.Join(dir, "k"), []byte(strings.Repeat("ab", 32)+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	text := `sessions {
+  peers {
+    listen = "10.0.0.4:1"
+    gateways = ["10.0.0.4:1", "10.0.0.5:1"]
+    key "7" { file = "k" }
+    key "8" { variable = "SOME_KEY" }
+  }
+}`
+	f, err := Parse([]byte(text), filepath.Join(dir, "operator.hcl"))
+	if err != nil || len(f.Sessions.Keys) != 2 || f.Sessions.Keys[0].ID != 7 || len(f.Sessions.Keys[0].Secret) != 32 || len(f.Sessions.Keys[1].Secret) != 16 {
+		t.Fatal(f, err)
+	}
+}
+
+// Whatever a file holds, it is read or refused with a place.
+func FuzzParse(f *testing.F) {
+	text, _ := os.ReadFile("../../deploy/operator.hcl")
+	f.Add(string(text))
+	f.Add("sessions { peers { key \"1\" { variable = \"A\" } } }")
+	f.Fuzz(func(t *testing.T, text string) {
+		if _, err := Parse([]byte(text), "o"); err != nil && !strings.Contains(err.Error(), ":") {
+			t.Fatal(err)
+		}
+	})
+}
