--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -47,6 +47,16 @@
 	leaving                  // gets nothing more; what it sends is dropped
 )
 
+// clients are the connections of clients. They belong to the loop.
+type clients struct {
+	g          *Gateway
+	open       slots.Table[client]
+	silent     [2]list.List // those that say nothing, longest first: who never asked, and the others
+	held       int          // bytes in their buffers
+	turnedAway int          // past the budget that are being told so
+	full       bool         // some are turned away
+}
+
 // client is a connection from a client. It belongs to the loop and is given back in clientClosed.
 type client struct {
 	conn     gnet.Conn
@@ -67,50 +77,50 @@
 	aheadAt  decide.Nanos // when the first of what stands behind an open query came
 }
 
-func (g *Gateway) clientOpened(c gnet.Conn) ([]byte, gnet.Action) {
-	if g.closing {
+func (cs *clients) clientOpened(c gnet.Conn) ([]byte, gnet.Action) {
+	if cs.g.closing {
 		return pgwire.AppendError(nil, "FATAL", "57P03", "the gateway is ending", ""), gnet.Close
 	}
-	others := g.budget.all / membersPart
-	g.makeRoom(others+(g.budget.all-others)/sparePart, leastQuiet)
-	g.makeRoom(others+1, leastFresh) // one who comes has something to ask
-	counted := g.budget.take(1, others)
+	others := cs.g.budget.all / membersPart
+	cs.makeRoom(others+(cs.g.budget.all-others)/sparePart, leastQuiet)
+	cs.makeRoom(others+1, leastFresh) // one who comes has something to ask
+	counted := cs.g.budget.take(1, others)
 	if !counted {
-		g.noteFull(true)
-		if g.turnedAway >= mostTurned { // an error that is cut off by a reset would be worse than none
+		cs.noteFull(true)
+		if cs.turnedAway >= mostTurned { // an error that is cut off by a reset would be worse than none
 			return nil, gnet.Close
 		}
-		g.turnedAway++
+		cs.turnedAway++
 	}
-	now := g.clock.now()
-	ref := g.clients.Add(client{conn: c, counted: counted, openedAt: now})
+	now := cs.g.clock.now()
+	ref := cs.open.Add(client{conn: c, counted: counted, openedAt: now})
 	c.SetContext(&owner{kind: ownerClient, ref: ref, counted: counted})
-	g.enter(ref, g.clients.Get(ref), fresh)
+	cs.enter(ref, cs.open.Get(ref), fresh)
 	return nil, gnet.None
 }
 
 // enter brings a client to a stage, with its deadline and its place among those that can make way.
-func (g *Gateway) enter(ref slots.Ref, c *client, to stage) {
+func (cs *clients) enter(ref slots.Ref, c *client, to stage) {
 	if c.stage == to {
 		return
 	}
-	g.leaveStage(c)
-	c.stage, c.since = to, g.clock.now()
+	cs.leaveStage(c)
+	c.stage, c.since = to, cs.g.clock.now()
 	end := c.since
 	switch to {
 	case fresh:
 		c.since = c.openedAt
 		end = c.since + mostFresh
-		c.row = g.silent[0].PushBack(ref)
+		c.row = cs.silent[0].PushBack(ref)
 	case quiet:
 		end += leastQuiet
-		if g.crowded() { // and it is likely that they ask once and stay: the longest quiet goes as well
+		if cs.crowded() { // and it is likely that they ask once and stay: the longest quiet goes as well
 			end = c.since + leastFresh
-			if e := g.silent[1].Front(); e != nil {
-				g.clientOverdue(e.Value.(slots.Ref))
+			if e := cs.silent[1].Front(); e != nil {
+				cs.clientOverdue(e.Value.(slots.Ref))
 			}
 		}
-		c.row = g.silent[1].PushBack(ref)
+		c.row = cs.silent[1].PushBack(ref)
 	case begun:
 		end += mostBegun
 	case unread:
@@ -120,31 +130,31 @@
 	case asking:
 		return
 	}
-	c.due = g.deadlines.Add(int64(end), due{kind: dueClient, ref: ref})
+	c.due = cs.g.deadlines.Add(int64(end), due{kind: dueClient, ref: ref})
 }
 
-func (g *Gateway) leaveStage(c *client) {
-	g.deadlines.Drop(c.due)
+func (cs *clients) leaveStage(c *client) {
+	cs.g.deadlines.Drop(c.due)
 	c.due = nil
 	if c.row != nil {
-		g.silent[0].Remove(c.row) // it is in one of them
-		g.silent[1].Remove(c.row)
+		cs.silent[0].Remove(c.row) // it is in one of them
+		cs.silent[1].Remove(c.row)
 		c.row = nil
 	}
 }
 
 // makeRoom sends clients away that say nothing until so many descriptors are free: first those that never
 // said anything, then those whose last answer is long enough ago, the longest silent first.
-func (g *Gateway) makeRoom(wanted int, leastQuiet decide.Nanos) {
-	now := g.clock.now()
+func (cs *clients) makeRoom(wanted int, leastQuiet decide.Nanos) {
+	now := cs.g.clock.now()
 	for i, least := range [...]decide.Nanos{leastFresh, leastQuiet} {
-		for e := g.silent[i].Front(); e != nil && g.budget.free < wanted; {
-			c := g.clients.Get(e.Value.(slots.Ref))
+		for e := cs.silent[i].Front(); e != nil && cs.g.budget.free < wanted; {
+			c := cs.open.Get(e.Value.(slots.Ref))
 			if now-c.since < least {
 				break
 			}
 			e = e.Next()
-			g.sendAway(c)
+			cs.sendAway(c)
 		}
 	}
 }
@@ -152,67 +162,67 @@
 // sendAway closes a connection between its client's requests, unless one has come that is not read yet: it is
 // served first. It closes at once: what the loop would still read before a close that is only posted would
 // look taken to the client, and never be answered.
-func (g *Gateway) sendAway(c *client) {
+func (cs *clients) sendAway(c *client) {
 	var one [1]byte
 	n, _, err := unix.Recvfrom(c.conn.Fd(), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	if err == nil && n > 0 || c.conn.InboundBuffered() > 0 {
 		return
 	}
-	_ = g.loop.Close(c.conn)
+	_ = cs.g.loop.Close(c.conn)
 }
 
 // clientClosed is the one place where a client is given back. What it had asked for is withdrawn.
-func (g *Gateway) clientClosed(ref slots.Ref) {
-	c := g.clients.Get(ref)
+func (cs *clients) clientClosed(ref slots.Ref) {
+	c := cs.open.Get(ref)
 	if c == nil {
 		return
 	}
-	g.held -= c.held
-	g.leaveStage(c)
+	cs.held -= c.held
+	cs.leaveStage(c)
 	if !c.counted {
-		g.turnedAway--
+		cs.turnedAway--
 	}
-	if g.budget.free > g.budget.all/membersPart+(g.budget.all-g.budget.all/membersPart)/sparePart {
-		g.noteFull(false)
+	if cs.g.budget.free > cs.g.budget.all/membersPart+(cs.g.budget.all-cs.g.budget.all/membersPart)/sparePart {
+		cs.noteFull(false)
 	}
-	g.withdraw(c)
-	g.clients.Free(ref)
+	cs.withdraw(c)
+	cs.open.Free(ref)
 }
 
 // withdraw ends what a client has asked for that goes away, or is sent away.
-func (g *Gateway) withdraw(c *client) {
-	if t := g.txns.Get(c.txn); t != nil && !t.answered {
+func (cs *clients) withdraw(c *client) {
+	if t := cs.g.txns.Get(c.txn); t != nil && !t.answered {
 		t.answered = true
-		g.inputs = append(g.inputs, input{kind: inWithdrawn, ref: c.txn})
+		cs.g.inputs = append(cs.g.inputs, input{kind: inWithdrawn, ref: c.txn})
 	}
 	c.txn = slots.Ref{}
 }
 
 // noteFull logs when clients are turned away for lack of descriptors, and when there is room for more again.
-func (g *Gateway) noteFull(full bool) {
-	if full != g.full {
-		g.full = full
+func (cs *clients) noteFull(full bool) {
+	if full != cs.full {
+		cs.full = full
 		var n [leaving + 1]int
-		for _, ref := range g.clients.Refs() {
-			n[g.clients.Get(ref).stage]++
+		for _, ref := range cs.open.Refs() {
+			n[cs.open.Get(ref).stage]++
 		}
-		g.log.Info("clients turned away", "now", full, "descriptors", g.budget.used, "fresh", n[fresh], "begun", n[begun],
+		cs.g.log.Info("clients turned away", "now", full, "descriptors", cs.g.budget.used, "fresh", n[fresh], "begun", n[begun],
 			"asking", n[asking], "quiet", n[quiet], "unread", n[unread], "leaving", n[leaving])
 	}
 }
 
 // crowded tells that clients that have asked are so many that their front may find no connection for a request.
-func (g *Gateway) crowded() bool {
-	return g.clients.Len()-g.silent[0].Len() > g.config.Limits.Sockets/crowdPart
+func (cs *clients) crowded() bool {
+	return cs.open.Len()-cs.silent[0].Len() > cs.g.config.Limits.Sockets/crowdPart
 }
 
 // quietTooLong tells whether a client that has asked and says nothing is to go: the sooner the more there are.
-func (g *Gateway) quietTooLong(c *client) bool {
-	quiet := g.clock.now() - c.since
+func (cs *clients) quietTooLong(c *client) bool {
+	quiet := cs.g.clock.now() - c.since
 	switch {
-	case g.crowded():
+	case cs.crowded():
 		return quiet >= leastFresh
-	case g.clients.Len() > g.budget.all/fewPart:
+	case cs.open.Len() > cs.g.budget.all/fewPart:
 		return quiet >= leastQuiet
 	}
 	return quiet >= mostQuiet
@@ -220,123 +230,123 @@
 
 // clientOverdue ends a connection whose stage has lasted too long. Half a message is worth a word. Those that
 // are quiet may stay while there are few: they count against what their front may hold here as well.
-func (g *Gateway) clientOverdue(ref slots.Ref) {
-	switch c := g.clients.Get(ref); {
+func (cs *clients) clientOverdue(ref slots.Ref) {
+	switch c := cs.open.Get(ref); {
 	case c == nil:
-	case c.stage == begun && !g.list.held:
-		g.refuse(ref, "57P03", "no list of members yet")
+	case c.stage == begun && !cs.g.discovery.list.held:
+		cs.refuse(ref, "57P03", "no list of members yet")
 	case c.stage == begun:
-		g.refuse(ref, "08P01", "the message does not end")
-	case c.stage == quiet && !g.quietTooLong(c):
-		g.deadlines.Drop(c.due)
-		c.due = g.deadlines.Add(int64(g.clock.now()+leastQuiet), due{kind: dueClient, ref: ref})
+		cs.refuse(ref, "08P01", "the message does not end")
+	case c.stage == quiet && !cs.quietTooLong(c):
+		cs.g.deadlines.Drop(c.due)
+		c.due = cs.g.deadlines.Add(int64(cs.g.clock.now()+leastQuiet), due{kind: dueClient, ref: ref})
 	case c.stage == fresh || c.stage == quiet:
-		g.sendAway(c)
+		cs.sendAway(c)
 	default:
-		_ = g.loop.Close(c.conn)
+		_ = cs.g.loop.Close(c.conn)
 	}
 }
 
 // dismiss ends a client's connection that has all its answers, once they are on their way.
-func (g *Gateway) dismiss(ref slots.Ref) {
-	c := g.clients.Get(ref)
+func (cs *clients) dismiss(ref slots.Ref) {
+	c := cs.open.Get(ref)
 	if c == nil {
 		return
 	}
 	if c.conn.OutboundBuffered() > 0 {
-		g.enter(ref, c, unread)
-		g.again(ref, c)
+		cs.enter(ref, c, unread)
+		cs.again(ref, c)
 		return
 	}
-	g.sendAway(c)
+	cs.sendAway(c)
 }
 
 // again looks at a client again in a moment, for which no event will come.
-func (g *Gateway) again(ref slots.Ref, c *client) {
+func (cs *clients) again(ref slots.Ref, c *client) {
 	if !c.polled {
 		c.polled = true
-		g.deadlines.Add(int64(g.clock.now()+slowReader), due{kind: dueReadable, ref: ref})
+		cs.g.deadlines.Add(int64(cs.g.clock.now()+slowReader), due{kind: dueReadable, ref: ref})
 	}
 }
 
 // refuse ends a connection that does not keep to the protocol. Its word is the answer to a query that is open.
 // The client is given a moment to read it: a close with something unread resets a connection, and what was
 // just written may be lost with it.
-func (g *Gateway) refuse(ref slots.Ref, code, message string) {
-	c := g.clients.Get(ref)
-	g.withdraw(c)
-	g.enter(ref, c, leaving)
-	g.writeClient(c, pgwire.AppendError(g.scratch[:0], "FATAL", code, message, ""))
-	if c = g.clients.Get(ref); c == nil {
+func (cs *clients) refuse(ref slots.Ref, code, message string) {
+	c := cs.open.Get(ref)
+	cs.withdraw(c)
+	cs.enter(ref, c, leaving)
+	cs.writeClient(c, pgwire.AppendError(cs.g.scratch[:0], "FATAL", code, message, ""))
+	if c = cs.open.Get(ref); c == nil {
 		return
 	}
 	if c.conn.OutboundBuffered() == 0 { // else the deadline ends it, with nothing more said
 		_ = unix.Shutdown(c.conn.Fd(), unix.SHUT_WR)
 	}
-	g.drop(c)
+	cs.drop(c)
 }
 
 // drop reads and forgets what a client sends that is sent away; one that sends too much is closed.
-func (g *Gateway) drop(c *client) {
+func (cs *clients) drop(c *client) {
 	n, _ := c.conn.Discard(-1)
 	if c.dropped += n; c.dropped > mostDropped && c.due != nil {
-		g.leaveStage(c)
+		cs.leaveStage(c)
 		_ = c.conn.Close()
 	}
 }
 
 // writeClient writes to a client; a write that fails ends the connection within it.
-func (g *Gateway) writeClient(c *client, out []byte) {
-	g.scratch = out[:0]
+func (cs *clients) writeClient(c *client, out []byte) {
+	cs.g.scratch = out[:0]
 	if len(out) > 0 {
 		_, _ = c.conn.Write(out)
 	}
 }
 
 // readClient reads what a client sent, up to its next txn: further queries stay in the buffer.
-func (g *Gateway) readClient(ref slots.Ref) {
+func (cs *clients) readClient(ref slots.Ref) {
 	for {
-		c := g.clients.Get(ref)
+		c := cs.open.Get(ref)
 		if c == nil {
 			return
 		}
 		if c.stage == leaving {
-			g.held -= c.held
+			cs.held -= c.held
 			c.held = 0
-			g.drop(c)
+			cs.drop(c)
 			return
 		}
 		waiting, out := c.conn.InboundBuffered(), c.conn.OutboundBuffered()
-		g.held += waiting + out - c.held
+		cs.held += waiting + out - c.held
 		c.held = waiting + out
 		if waiting > mostAhead {
-			g.refuse(ref, "08P01", "too much sent ahead")
+			cs.refuse(ref, "08P01", "too much sent ahead")
 			return
 		}
-		if t := g.txns.Get(c.txn); t != nil {
+		if t := cs.g.txns.Get(c.txn); t != nil {
 			if c.aheadAt == 0 && waiting > t.size {
-				c.aheadAt = g.clock.now()
+				c.aheadAt = cs.g.clock.now()
 			}
-			g.enter(ref, c, asking)
+			cs.enter(ref, c, asking)
 			return
 		}
-		if g.held > g.config.Limits.MemoryMB<<20/memoryPart && c.held > fairShare {
-			g.refuse(ref, "53300", "no memory for more")
+		if cs.held > cs.g.config.Limits.MemoryMB<<20/memoryPart && c.held > fairShare {
+			cs.refuse(ref, "53300", "no memory for more")
 			return
 		}
 		if out > 0 { // a slow reader gets no further answers until it has read these
-			g.enter(ref, c, unread)
-			g.again(ref, c)
+			cs.enter(ref, c, unread)
+			cs.again(ref, c)
 			return
 		}
 		// What was read of a query is served; one that is still on its way is sent again elsewhere.
-		if g.closing && waiting == 0 {
-			g.dismiss(ref)
+		if cs.g.closing && waiting == 0 {
+			cs.dismiss(ref)
 			return
 		}
 		if waiting == 0 {
 			c.aheadAt = 0
-			g.enter(ref, c, c.silence())
+			cs.enter(ref, c, c.silence())
 			return
 		}
 		buf, err := c.conn.Peek(min(waiting, pgwire.HeadSize))
@@ -351,18 +361,18 @@
 		}
 		size := 0
 		if c.admitted {
-			size = g.readMessage(ref, c, buf)
+			size = cs.readMessage(ref, c, buf)
 		} else {
-			size = g.readOpening(ref, c, buf)
+			size = cs.readOpening(ref, c, buf)
 		}
 		if size == 0 {
 			// Part of a message, or a txn's query, which stays; a write may have ended it, or sent it away.
-			if c = g.clients.Get(ref); c != nil && c.stage != leaving && c.stage != unread {
-				g.enter(ref, c, c.holding())
+			if c = cs.open.Get(ref); c != nil && c.stage != leaving && c.stage != unread {
+				cs.enter(ref, c, c.holding())
 			}
 			return
 		}
-		if c = g.clients.Get(ref); c != nil && c.stage != leaving {
+		if c = cs.open.Get(ref); c != nil && c.stage != leaving {
 			_, _ = c.conn.Discard(size)
 		}
 	}
@@ -385,32 +395,32 @@
 }
 
 // readOpening takes one message before a session; 0 is none.
-func (g *Gateway) readOpening(ref slots.Ref, c *client, buf []byte) int {
+func (cs *clients) readOpening(ref slots.Ref, c *client, buf []byte) int {
 	kind, size, err := pgwire.Open(buf)
 	switch {
 	case err != nil:
-		g.refuse(ref, "08P01", "no startup message of protocol version 3")
+		cs.refuse(ref, "08P01", "no startup message of protocol version 3")
 		return 0
 	case kind == pgwire.Encryption:
-		g.writeClient(c, append(g.scratch[:0], 'N'))
+		cs.writeClient(c, append(cs.g.scratch[:0], 'N'))
 	case kind == pgwire.CancelQuery:
-		_ = g.loop.Close(c.conn)
+		_ = cs.g.loop.Close(c.conn)
 		return 0
 	case kind == pgwire.Startup && !c.counted:
-		g.refuse(ref, "53300", "too many connections")
+		cs.refuse(ref, "53300", "too many connections")
 		return 0
 	case kind == pgwire.Startup:
 		c.admitted = true
-		g.writeClient(c, pgwire.AppendWelcome(g.scratch[:0]))
+		cs.writeClient(c, pgwire.AppendWelcome(cs.g.scratch[:0]))
 	}
 	return size
 }
 
 // readMessage takes one message of a session; 0 is none, or one that stays in the buffer.
-func (g *Gateway) readMessage(ref slots.Ref, c *client, buf []byte) int {
+func (cs *clients) readMessage(ref slots.Ref, c *client, buf []byte) int {
 	kind, body, size, err := pgwire.Message(buf, mostMessage)
 	if err != nil {
-		g.refuse(ref, "08P01", "malformed message")
+		cs.refuse(ref, "08P01", "malformed message")
 		return 0
 	}
 	if size == 0 {
@@ -418,56 +428,56 @@
 	}
 	switch kind {
 	case 'Q':
-		return g.readQuery(ref, c, body, size)
+		return cs.readQuery(ref, c, body, size)
 	case 'X':
-		_ = g.loop.Close(c.conn)
+		_ = cs.g.loop.Close(c.conn)
 		return 0
 	case 'S': // Sync
 		c.skipping = false
-		g.writeClient(c, pgwire.AppendReady(g.scratch[:0]))
+		cs.writeClient(c, pgwire.AppendReady(cs.g.scratch[:0]))
 	case 'P', 'B', 'D', 'E', 'C', 'H', 'F': // the extended protocol and function calls
 		if !c.skipping {
 			c.skipping = kind != 'F'
-			out := pgwire.AppendError(g.scratch[:0], "ERROR", "0A000", "only simple queries are served", "")
+			out := pgwire.AppendError(cs.g.scratch[:0], "ERROR", "0A000", "only simple queries are served", "")
 			if kind == 'F' {
 				out = pgwire.AppendReady(out)
 			}
-			g.writeClient(c, out)
+			cs.writeClient(c, out)
 		}
 	default:
-		g.refuse(ref, "08P01", "unknown message "+strconv.QuoteRune(rune(kind)))
+		cs.refuse(ref, "08P01", "unknown message "+strconv.QuoteRune(rune(kind)))
 		return 0
 	}
 	return size
 }
 
 // readQuery takes a query. That of a txn stays in the buffer, where each submission reads it, until answered.
-func (g *Gateway) readQuery(ref slots.Ref, c *client, body []byte, size int) int {
+func (cs *clients) readQuery(ref slots.Ref, c *client, body []byte, size int) int {
 	text, ok := pgwire.Text(body)
 	if !ok {
-		g.refuse(ref, "08P01", "malformed query")
+		cs.refuse(ref, "08P01", "malformed query")
 		return 0
 	}
 	if len(trimmed(text)) == 0 {
-		if !g.list.held { // not yet able to serve: the answer waits until it is
-			g.again(ref, c)
+		if !cs.g.discovery.list.held { // not yet able to serve: the answer waits until it is
+			cs.again(ref, c)
 			return 0
 		}
-		g.writeClient(c, pgwire.AppendReady(pgwire.AppendEmpty(g.scratch[:0])))
+		cs.writeClient(c, pgwire.AppendReady(pgwire.AppendEmpty(cs.g.scratch[:0])))
 		return size
 	}
-	problem := g.arrived(ref, c, text, size)
+	problem := cs.g.arrived(ref, c, text, size)
 	if problem == "" {
 		c.asked, c.errors = true, 0
 		return 0
 	}
 	// One that sends nothing else would be answered at its full speed.
 	if c.errors++; c.errors == mostErrors {
-		g.refuse(ref, "42601", problem)
+		cs.refuse(ref, "42601", problem)
 		return 0
 	}
-	out := pgwire.AppendError(g.scratch[:0], "ERROR", "42601", problem, "")
-	g.writeClient(c, pgwire.AppendReady(out))
+	out := pgwire.AppendError(cs.g.scratch[:0], "ERROR", "42601", problem, "")
+	cs.writeClient(c, pgwire.AppendReady(out))
 	return size
 }
 
--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -22,6 +22,13 @@
 	callSpan    = 3000 * decide.Millisecond // of a call that need not wait: calls are handled in turn
 )
 
+// discovery is the list and the calls for it. It belongs to the loop.
+type discovery struct {
+	g     *Gateway
+	list  roster
+	calls [2]call // by callKind
+}
+
 // callKind tells the calls apart; each has a connection of its own, as a watch holds up what is behind it.
 type callKind int
 
@@ -63,54 +70,54 @@
 }
 
 // call asks discovery for changes, or for the whole list.
-func (g *Gateway) call(kind callKind) {
-	c := &g.calls[kind]
+func (ds *discovery) call(kind callKind) {
+	c := &ds.calls[kind]
 	if c.asked || c.dialled {
 		return
 	}
 	c.waits = 0 // the first answer of a watch comes at once, so that it is known to run
-	g.ask(c)
+	ds.ask(c)
 }
 
-func (g *Gateway) ask(c *call) {
+func (ds *discovery) ask(c *call) {
 	span := callSpan
 	if c.waits > 0 {
 		span = decide.Nanos(c.waits)*decide.Millisecond + watchMargin
 	}
-	c.due = g.deadlines.Add(int64(g.clock.now()+span), due{kind: dueCall, call: c})
+	c.due = ds.g.deadlines.Add(int64(ds.g.clock.now()+span), due{kind: dueCall, call: c})
 	if c.conn != nil {
-		g.writeCall(c)
+		ds.writeCall(c)
 		return
 	}
 	c.dialled = true
 	c.no++
-	if !g.dial(g.config.Discovery.String(), watchMargin, &owner{kind: ownerDiscovery, call: c, no: c.no}) {
-		g.callFailed(c, "no descriptor")
+	if !ds.g.dial(ds.g.config.Discovery.String(), watchMargin, &owner{kind: ownerDiscovery, call: c, no: c.no}) {
+		ds.callFailed(c, "no descriptor")
 	}
 }
 
-func (g *Gateway) writeCall(c *call) {
+func (ds *discovery) writeCall(c *call) {
 	target := "/api/targets"
-	if c.kind == callWatch && g.list.seq != unnumbered {
-		target = fmt.Sprintf("/api/targets?after=%d&wait_ms=%d", g.list.seq, c.waits)
+	if c.kind == callWatch && ds.list.seq != unnumbered {
+		target = fmt.Sprintf("/api/targets?after=%d&wait_ms=%d", ds.list.seq, c.waits)
 	}
 	c.asked = true
-	_, _ = c.conn.Write(httpwire.AppendGet(nil, g.config.Discovery.String(), target))
+	_, _ = c.conn.Write(httpwire.AppendGet(nil, ds.g.config.Discovery.String(), target))
 }
 
-func (g *Gateway) discoveryOpened(conn gnet.Conn, o *owner) ([]byte, gnet.Action) {
+func (ds *discovery) discoveryOpened(conn gnet.Conn, o *owner) ([]byte, gnet.Action) {
 	c := o.call
 	if c.no != o.no || !c.dialled {
 		return nil, gnet.Close
 	}
 	c.conn, c.dialled = conn, false
-	g.writeCall(c)
+	ds.writeCall(c)
 	return nil, gnet.None
 }
 
 // hangUpCall is the one place where a connection to discovery is given back.
-func (g *Gateway) hangUpCall(c *call) {
-	g.deadlines.Drop(c.due)
+func (ds *discovery) hangUpCall(c *call) {
+	ds.g.deadlines.Drop(c.due)
 	if c.conn != nil {
 		_ = c.conn.Close()
 	}
@@ -118,37 +125,37 @@
 	c.no++
 }
 
-func (g *Gateway) discoveryClosed(o *owner) {
+func (ds *discovery) discoveryClosed(o *owner) {
 	c := o.call
 	if c.no != o.no {
 		return
 	}
 	if c.asked || c.dialled {
-		g.callFailed(c, "connection lost")
+		ds.callFailed(c, "connection lost")
 		return
 	}
-	g.hangUpCall(c)
+	ds.hangUpCall(c)
 }
 
-func (g *Gateway) callTimedOut(c *call) { g.callFailed(c, "no answer") }
+func (ds *discovery) callTimedOut(c *call) { ds.callFailed(c, "no answer") }
 
 // callFailed tells the module, which decides when to ask again.
-func (g *Gateway) callFailed(c *call, why string) {
+func (ds *discovery) callFailed(c *call, why string) {
 	if why != c.failing {
 		c.failing = why
-		g.log.Info("call to discovery failed", "why", why)
+		ds.g.log.Info("call to discovery failed", "why", why)
 	}
-	g.hangUpCall(c)
-	g.inputs = append(g.inputs, input{kind: inListFailed})
+	ds.hangUpCall(c)
+	ds.g.inputs = append(ds.g.inputs, input{kind: inListFailed})
 }
 
-func (g *Gateway) readDiscovery(conn gnet.Conn, o *owner) {
+func (ds *discovery) readDiscovery(conn gnet.Conn, o *owner) {
 	c := o.call
 	if c.no != o.no || c.conn == nil {
 		return
 	}
 	if conn.InboundBuffered() > mostList+1<<16 {
-		g.callFailed(c, "answer too long")
+		ds.callFailed(c, "answer too long")
 		return
 	}
 	buf, err := conn.Peek(-1)
@@ -156,94 +163,94 @@
 		return
 	}
 	if !c.asked {
-		g.callFailed(c, "an answer that nobody asked for")
+		ds.callFailed(c, "an answer that nobody asked for")
 		return
 	}
 	a, ok, err := httpwire.Read(buf, mostList)
 	switch {
 	case err != nil:
-		g.callFailed(c, err.Error())
+		ds.callFailed(c, err.Error())
 		return
 	case !ok:
 		return
 	case a.Status != 200:
-		g.callFailed(c, fmt.Sprintf("status %d", a.Status))
+		ds.callFailed(c, fmt.Sprintf("status %d", a.Status))
 		return
 	}
 	l, err := httpwire.ReadList(a.Body, mostEntries)
 	if err != nil {
-		g.callFailed(c, "unreadable list: "+err.Error())
+		ds.callFailed(c, "unreadable list: "+err.Error())
 		return
 	}
 	_, _ = conn.Discard(a.Size)
-	g.deadlines.Drop(c.due)
+	ds.g.deadlines.Drop(c.due)
 	c.asked, c.failing = false, ""
 	scope := decide.Delta
 	if l.Whole {
 		scope = decide.FullList
 	}
-	g.list.seq, g.list.held = l.Seq, true
-	g.inputs = append(g.inputs, input{kind: inList, list: &news{l, scope}})
+	ds.list.seq, ds.list.held = l.Seq, true
+	ds.g.inputs = append(ds.g.inputs, input{kind: inList, list: &news{l, scope}})
 	if a.Last {
-		g.hangUpCall(c)
+		ds.hangUpCall(c)
 	}
 	if c.kind == callWatch { // it goes on if the next call comes soon
 		c.waits = watchMs
-		g.ask(c)
+		ds.ask(c)
 	}
 }
 
 // start tells the module the list as last held.
-func (g *Gateway) start() {
-	l := g.config.Known
+func (ds *discovery) start() {
+	l := ds.g.config.Known
 	if l == nil {
 		l = &httpwire.List{}
 	}
-	g.list.seq, g.list.held = l.Seq, len(l.Hosts) > 0
-	g.inputs = append(g.inputs, input{kind: inList, list: &news{l, decide.CachedList}})
-	g.log.Info("listening", "address", g.config.Listen, "members", len(l.Hosts))
+	ds.list.seq, ds.list.held = l.Seq, len(l.Hosts) > 0
+	ds.g.inputs = append(ds.g.inputs, input{kind: inList, list: &news{l, decide.CachedList}})
+	ds.g.log.Info("listening", "address", ds.g.config.Listen, "members", len(l.Hosts))
 }
 
 // tellList tells the module a list, gone entries first: their addresses may be in use again.
-func (g *Gateway) tellList(n *news) {
+func (ds *discovery) tellList(n *news) {
 	for _, e := range n.list.Hosts {
-		h, ok := g.list.hosts[e.Host]
+		h, ok := ds.list.hosts[e.Host]
 		if ok && (e.Health == "left" || h.entry.Dial != e.Dial) {
-			g.leaves(e.Host, h)
+			ds.leaves(e.Host, h)
 		}
-		for name, h := range g.list.hosts { // another machine at its address: nothing is known of that one
+		for name, h := range ds.list.hosts { // another machine at its address: nothing is known of that one
 			if !ok && e.Health != "left" && h.entry.Dial == e.Dial {
-				g.leaves(name, h)
+				ds.leaves(name, h)
 			}
 		}
 	}
 	if n.scope == decide.FullList {
-		for name, h := range g.list.hosts {
+		for name, h := range ds.list.hosts {
 			if !slices.ContainsFunc(n.list.Hosts, func(e httpwire.Host) bool { return e.Host == name }) {
-				g.leaves(name, h)
+				ds.leaves(name, h)
 			}
 		}
 	}
 	for _, e := range n.list.Hosts {
-		g.tellHost(e)
+		ds.tellHost(e)
 	}
-	g.module.ListEnds(n.scope)
+	ds.g.module.ListEnds(n.scope)
 }
 
 // leaves tells that a host is gone, unless another has its address by now.
-func (g *Gateway) leaves(name string, h host) {
-	delete(g.list.hosts, name)
-	for _, o := range g.list.hosts {
+func (ds *discovery) leaves(name string, h host) {
+	delete(ds.list.hosts, name)
+	for _, o := range ds.list.hosts {
 		if o.server == h.server {
 			return
 		}
 	}
-	zone := slices.Index(g.names.Zones, h.entry.Site)
-	g.module.Listed(h.server, h.entry.Block, false, decide.Gone, zone, h.entry.Share, -1, 0)
-	g.closeIdle(h.server)
+	zone := slices.Index(ds.g.names.Zones, h.entry.Site)
+	ds.g.module.Listed(h.server, h.entry.Block, false, decide.Gone, zone, h.entry.Share, -1, 0)
+	ds.g.members.closeIdle(h.server)
 }
 
-func (g *Gateway) tellHost(e httpwire.Host) {
+func (ds *discovery) tellHost(e httpwire.Host) {
 	status := decide.Ready
 	switch e.Health {
 	case "active":
@@ -252,36 +259,36 @@
 	case "left":
 		return
 	default:
-		g.leaveAside("state", e.Health)
+		ds.leaveAside("state", e.Health)
 		return
 	}
-	zone := slices.Index(g.names.Zones, e.Site)
+	zone := slices.Index(ds.g.names.Zones, e.Site)
 	if zone < 0 {
-		g.leaveAside("site", e.Site)
+		ds.leaveAside("site", e.Site)
 		return
 	}
 	address, err := netip.ParseAddrPort(e.Dial)
 	if err != nil || !address.Addr().Is4() || e.Block < 0 || e.Block > 1<<16 {
-		g.leaveAside("address", e.Dial)
+		ds.leaveAside("address", e.Dial)
 		return
 	}
 	server := serverOf(address)
-	g.list.hosts[e.Host] = host{server, e}
-	g.list.groups[e.Block] = true
-	kind := slices.Index(g.names.MachineTypes, e.Class)
-	g.module.Listed(server, e.Block, e.Mode == "read-write", status, zone, e.Share, kind, g.clock.at(e.BornMs))
+	ds.list.hosts[e.Host] = host{server, e}
+	ds.list.groups[e.Block] = true
+	kind := slices.Index(ds.g.names.MachineTypes, e.Class)
+	ds.g.module.Listed(server, e.Block, e.Mode == "read-write", status, zone, e.Share, kind, ds.g.clock.at(e.BornMs))
 	if status != decide.Ready {
-		g.closeIdle(server)
+		ds.g.members.closeIdle(server)
 	}
 }
 
 // leaveAside logs once that the list has a word that is not known.
-func (g *Gateway) leaveAside(what, word string) {
-	if g.list.strange == nil {
-		g.list.strange = map[string]bool{}
+func (ds *discovery) leaveAside(what, word string) {
+	if ds.list.strange == nil {
+		ds.list.strange = map[string]bool{}
 	}
-	if len(g.list.strange) < 100 && !g.list.strange[what+word] {
-		g.list.strange[what+word] = true
-		g.log.Warn("list entry left aside", "unknown", what, "word", word)
+	if len(ds.list.strange) < 100 && !ds.list.strange[what+word] {
+		ds.list.strange[what+word] = true
+		ds.g.log.Warn("list entry left aside", "unknown", what, "word", word)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,7 +9,6 @@
 import (
 	"bytes"
 	"cmp"
-	"container/list"
 	"context"
 	"errors"
 	"fmt"
@@ -44,24 +43,16 @@
 	timer     *time.Timer
 	timerAt   int64 // what the timer is set to; 0 is nothing
 
-	budget  budget
-	clients slots.Table[client]
-	txns    slots.Table[txn]
-	byID    map[uint64]slots.Ref
-	conns   slots.Table[memberConn]
-	pools   map[decide.Server]*pool
-	list    roster
-	calls   [2]call // by callKind
-	scratch []byte
-	raised  []byte // a statement with the floor of its read
-	parts   [][]byte
-	counts  counts
-
-	silent     [2]list.List // clients that say nothing, longest first: those that never asked, and the others
-	held       int          // bytes in clients' buffers
-	answering  int          // bytes of answers that are not whole
-	turnedAway int          // clients past the budget that are being told so
-	full       bool         // clients are turned away
+	budget    budget
+	clients   clients
+	txns      slots.Table[txn]
+	byID      map[uint64]slots.Ref
+	members   members
+	discovery discovery
+	scratch   []byte
+	raised    []byte // a statement with the floor of its read
+	parts     [][]byte
+	counts    counts
 
 	sessions *sessions // nil where the operator says nothing of them
 
@@ -89,7 +80,9 @@
 	}
 	g := &Gateway{config: c, names: n, module: module, clock: newClock(), started: make(chan struct{}),
 		log:  cmp.Or(c.Log, slog.Default()).With("gateway", c.Name),
-		byID: map[uint64]slots.Ref{}, pools: map[decide.Server]*pool{}}
+		byID: map[uint64]slots.Ref{}}
+	g.members = members{g: g, pools: map[decide.Server]*pool{}}
+	g.clients.g, g.discovery.g = g, g
 	g.budget.free = c.Limits.Sockets - reserve
 	g.budget.all = g.budget.free
 	if c.Sessions != nil {
@@ -97,9 +90,9 @@
 			return nil, fmt.Errorf("configuration: %w", err)
 		}
 	}
-	g.list.hosts, g.list.groups = map[string]host{}, map[int]bool{}
-	for i := range g.calls {
-		g.calls[i].kind = callKind(i)
+	g.discovery.list.hosts, g.discovery.list.groups = map[string]host{}, map[int]bool{}
+	for i := range g.discovery.calls {
+		g.discovery.calls[i].kind = callKind(i)
 	}
 	return g, nil
 }
@@ -151,11 +144,11 @@
 		return
 	}
 	now.Discovery = c.Discovery
-	for i := range g.calls {
-		g.hangUpCall(&g.calls[i])
+	for i := range g.discovery.calls {
+		g.discovery.hangUpCall(&g.discovery.calls[i])
 	}
-	g.list.seq = unnumbered
-	g.call(callWatch)
+	g.discovery.list.seq = unnumbered
+	g.discovery.call(callWatch)
 }
 
 // post runs something on the loop, in a turn of its own.
@@ -187,20 +180,20 @@
 	g.last = g.clock.now() + lateComers + decide.Millis(longest) + lastMargin
 	g.deadlines.Add(int64(g.clock.now()+lateComers), due{kind: dueClosing})
 	g.deadlines.Add(int64(g.last), due{kind: dueLast})
-	g.log.Info("leaving", "clients", g.clients.Len(), "txns", g.txns.Len())
+	g.log.Info("leaving", "clients", g.clients.open.Len(), "txns", g.txns.Len())
 }
 
 // closeIdleClients is the second part of it: clients are sent away once they have their answers.
 func (g *Gateway) closeIdleClients() {
 	g.closing = true
-	for _, ref := range g.clients.Refs() {
+	for _, ref := range g.clients.open.Refs() {
 		g.inputs = append(g.inputs, input{kind: inReadable, ref: ref})
 	}
 }
 
 // end tells gnet to end the loop once the last client is gone, or time is up.
 func (g *Gateway) end() error {
-	if g.closing && (g.clients.Len() == 0 || g.clock.now() >= g.last) {
+	if g.closing && (g.clients.open.Len() == 0 || g.clock.now() >= g.last) {
 		return gneterrors.ErrEngineShutdown
 	}
 	return nil
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -149,7 +149,7 @@
 func (g *Gateway) tell(in input) {
 	switch in.kind {
 	case inReadable:
-		g.readClient(in.ref)
+		g.clients.readClient(in.ref)
 	case inEnded:
 		g.tellEnded(in)
 	case inProbed:
@@ -166,7 +166,7 @@
 			g.rollBack(t.id)
 		}
 	case inList:
-		g.tellList(in.list)
+		g.discovery.tellList(in.list)
 	case inListFailed:
 		g.module.ListFailed()
 	}
@@ -183,13 +183,13 @@
 	case decide.Cancel:
 		g.cancel(d.Txn, int(d.No))
 	case decide.Probe:
-		g.probe(d.Server)
+		g.members.probe(d.Server)
 	case decide.HangUp:
-		g.closeIdle(d.Server)
+		g.members.closeIdle(d.Server)
 	case decide.Follow:
-		g.call(callWatch)
+		g.discovery.call(callWatch)
 	case decide.Fetch:
-		g.call(callFetch)
+		g.discovery.call(callFetch)
 	case decide.Wake:
 		g.deadlines.Add(int64(g.clock.now()+d.After), due{kind: dueWake})
 	case decide.Log:
@@ -221,19 +221,19 @@
 		}
 		switch d.kind {
 		case dueConnect:
-			g.connectTimedOut(d.ref)
+			g.members.connectTimedOut(d.ref)
 		case dueSubmission:
-			g.submissionTimedOut(d.ref)
+			g.members.submissionTimedOut(d.ref)
 		case dueIdle:
-			g.idleTooLong(d.ref)
+			g.members.idleTooLong(d.ref)
 		case dueCall:
-			g.callTimedOut(d.call)
+			g.discovery.callTimedOut(d.call)
 		case dueClient:
-			g.clientOverdue(d.ref)
+			g.clients.clientOverdue(d.ref)
 		case dueAnswer:
 			g.sessions.marks.overdue(d.ref)
 		case dueReadable:
-			if c := g.clients.Get(d.ref); c != nil {
+			if c := g.clients.open.Get(d.ref); c != nil {
 				c.polled = false
 			}
 			g.inputs = append(g.inputs, input{kind: inReadable, ref: d.ref})
@@ -265,7 +265,13 @@
 
 // enroll hands a connection to the loop, which has a descriptor of its own for it.
 func (g *Gateway) enroll(c net.Conn, o *owner) error {
-	opened, err := g.engine.Register(gnet.NewContext(gnet.NewNetConnContext(context.Background(), c), o))
+	var opened <-chan gnet.RegisteredResult
+	var err error
+	if ctx := gnet.NewContext(context.Background(), o); g.loop != nil {
+		opened, err = g.loop.Enroll(ctx, c)
+	} else { // the engine would choose a loop, by a count that several dials would write to at once
+		opened, err = g.engine.Register(gnet.NewNetConnContext(ctx, c))
+	}
 	if err != nil {
 		_ = c.Close()
 		return err
@@ -298,12 +304,12 @@
 func (g *Gateway) dialFailed(o *owner, reset bool) {
 	g.budget.give(2)
 	if o.kind == ownerMember {
-		if m := g.conns.Get(o.ref); m != nil && reset {
+		if m := g.members.conns.Get(o.ref); m != nil && reset {
 			m.phase = starting
 		}
-		g.memberClosed(o.ref, false)
+		g.members.memberClosed(o.ref, false)
 	} else {
-		g.discoveryClosed(o)
+		g.discovery.discoveryClosed(o)
 	}
 }
 
@@ -311,13 +317,13 @@
 func (g *Gateway) OnOpen(c gnet.Conn) (out []byte, action gnet.Action) {
 	o, enrolled := c.Context().(*owner)
 	if !enrolled {
-		return g.clientOpened(c)
+		return g.clients.clientOpened(c)
 	}
 	switch o.kind {
 	case ownerStarter:
 		g.loop = c.EventLoop()
 		close(g.started)
-		g.start()
+		g.discovery.start()
 		if g.sessions != nil {
 			g.sessions.start()
 		}
@@ -325,10 +331,10 @@
 		return nil, gnet.Close
 	case ownerMember:
 		g.budget.give(1)
-		return g.memberOpened(c, o.ref)
+		return g.members.memberOpened(c, o.ref)
 	case ownerDiscovery:
 		g.budget.give(1)
-		return g.discoveryOpened(c, o)
+		return g.discovery.discoveryOpened(c, o)
 	}
 	return nil, gnet.Close
 }
@@ -344,9 +350,9 @@
 	case ownerClient:
 		g.inputs = append(g.inputs, input{kind: inReadable, ref: o.ref})
 	case ownerMember:
-		g.readMember(o.ref)
+		g.members.readMember(o.ref)
 	case ownerDiscovery:
-		g.readDiscovery(c, o)
+		g.discovery.readDiscovery(c, o)
 	}
 	g.turn()
 	if g.end() != nil {
@@ -366,11 +372,11 @@
 	}
 	switch o.kind {
 	case ownerClient:
-		g.clientClosed(o.ref)
+		g.clients.clientClosed(o.ref)
 	case ownerMember:
-		g.memberClosed(o.ref, c.OutboundBuffered() == 0)
+		g.members.memberClosed(o.ref, c.OutboundBuffered() == 0)
 	case ownerDiscovery:
-		g.discoveryClosed(o)
+		g.discovery.discoveryClosed(o)
 	}
 	g.turn()
 	if g.end() != nil {
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -78,54 +78,62 @@
 	valueFrom, value int
 }
 
+// members are the connections to members and their pools. They belong to the loop.
+type members struct {
+	g         *Gateway
+	conns     slots.Table[memberConn]
+	pools     map[decide.Server]*pool
+	answering int // bytes of answers that are not whole
+}
+
 // pool holds a member's idle connections, the latest used last.
 type pool struct{ idle []slots.Ref }
 
-func (g *Gateway) poolOf(server decide.Server) *pool {
-	p := g.pools[server]
+func (ms *members) poolOf(server decide.Server) *pool {
+	p := ms.pools[server]
 	if p == nil {
 		p = new(pool)
-		g.pools[server] = p
+		ms.pools[server] = p
 	}
 	return p
 }
 
 // connect gives a job to the latest used idle connection, or dials one.
-func (g *Gateway) connect(server decide.Server, j job) slots.Ref {
-	if ref, ok := g.rested(server); ok {
-		m := g.conns.Get(ref)
-		g.deadlines.Drop(m.patience)
-		g.assign(ref, m, j)
-		g.begin(ref)
+func (ms *members) connect(server decide.Server, j job) slots.Ref {
+	if ref, ok := ms.rested(server); ok {
+		m := ms.conns.Get(ref)
+		ms.g.deadlines.Drop(m.patience)
+		ms.assign(ref, m, j)
+		ms.begin(ref)
 		return ref
 	}
-	now := g.clock.now()
-	ref := g.conns.Add(memberConn{server: server, since: now})
-	wait := decide.Millis(g.names.Limits.ConnectTimeoutMs)
-	for !g.dial(server.String(), wait, &owner{kind: ownerMember, ref: ref}) {
-		if !g.closeLongestIdle() {
-			g.conns.Free(ref)
-			g.noteEnd(j, server, decide.Moot, nil)
+	now := ms.g.clock.now()
+	ref := ms.conns.Add(memberConn{server: server, since: now})
+	wait := decide.Millis(ms.g.names.Limits.ConnectTimeoutMs)
+	for !ms.g.dial(server.String(), wait, &owner{kind: ownerMember, ref: ref}) {
+		if !ms.closeLongestIdle() {
+			ms.conns.Free(ref)
+			ms.noteEnd(j, server, decide.Moot, nil)
 			return slots.Ref{}
 		}
 	}
-	m := g.conns.Get(ref)
-	g.assign(ref, m, j)
-	m.connect = g.deadlines.Add(int64(now+wait), due{kind: dueConnect, ref: ref})
+	m := ms.conns.Get(ref)
+	ms.assign(ref, m, j)
+	m.connect = ms.g.deadlines.Add(int64(now+wait), due{kind: dueConnect, ref: ref})
 	return ref
 }
 
 // rested takes the latest used idle connection out of the pool that can be used again. One on which something
 // waits unread, be it its end, is no longer of use; the loop may not have come to read it yet.
-func (g *Gateway) rested(server decide.Server) (ref slots.Ref, ok bool) {
-	p := g.pools[server]
+func (ms *members) rested(server decide.Server) (ref slots.Ref, ok bool) {
+	p := ms.pools[server]
 	if p == nil {
 		return ref, false
 	}
-	now := g.clock.now()
+	now := ms.g.clock.now()
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		ref = p.idle[i]
-		m := g.conns.Get(ref)
+		m := ms.conns.Get(ref)
 		if now-m.since < leastRest {
 			continue
 		}
@@ -135,18 +143,18 @@
 		if err == unix.EAGAIN && m.conn.InboundBuffered() == 0 {
 			return ref, true
 		}
-		g.release(ref)
+		ms.release(ref)
 	}
 	return ref, false
 }
 
 // closeLongestIdle closes the idle connection that was used longest ago.
-func (g *Gateway) closeLongestIdle() bool {
+func (ms *members) closeLongestIdle() bool {
 	var oldest slots.Ref
 	var since decide.Nanos
-	for _, p := range g.pools {
+	for _, p := range ms.pools {
 		if len(p.idle) > 0 {
-			if m := g.conns.Get(p.idle[0]); since == 0 || m.since < since {
+			if m := ms.conns.Get(p.idle[0]); since == 0 || m.since < since {
 				oldest, since = p.idle[0], m.since
 			}
 		}
@@ -154,51 +162,51 @@
 	if since == 0 {
 		return false
 	}
-	conn := g.conns.Get(oldest).conn
-	g.release(oldest)
-	_ = g.loop.Close(conn) // now, as its descriptor is wanted
+	conn := ms.conns.Get(oldest).conn
+	ms.release(oldest)
+	_ = ms.g.loop.Close(conn) // now, as its descriptor is wanted
 	return true
 }
 
-func (g *Gateway) assign(ref slots.Ref, m *memberConn, j job) {
+func (ms *members) assign(ref slots.Ref, m *memberConn, j job) {
 	m.job, m.working, m.sent = j, true, false
-	m.patience = g.deadlines.Add(int64(j.until), due{kind: dueSubmission, ref: ref})
+	m.patience = ms.g.deadlines.Add(int64(j.until), due{kind: dueSubmission, ref: ref})
 }
 
 // begin writes the query of a connection's job.
-func (g *Gateway) begin(ref slots.Ref) {
-	m := g.conns.Get(ref)
+func (ms *members) begin(ref slots.Ref) {
+	m := ms.conns.Get(ref)
 	m.phase, m.heardAt, m.needs = busy, 0, 0
 	m.answer = answer{parts: m.answer.parts[:0]}
 	var parts [][]byte
 	if m.job.probe {
-		g.scratch = pgwire.AppendQuery(g.scratch[:0], g.probeText())
-		parts = append(g.parts[:0], g.scratch)
+		ms.g.scratch = pgwire.AppendQuery(ms.g.scratch[:0], ms.probeText())
+		parts = append(ms.g.parts[:0], ms.g.scratch)
 	} else {
 		var ok bool
-		if parts, ok = g.statement(m.job.txn, m.job.until); !ok {
-			g.finish(ref, decide.Moot, false)
-			g.toIdle(ref)
+		if parts, ok = ms.g.statement(m.job.txn, m.job.until); !ok {
+			ms.finish(ref, decide.Moot, false)
+			ms.toIdle(ref)
 			return
 		}
 	}
 	_, err := m.conn.Writev(parts) // one that fails ends the connection within it, as never written
-	if m = g.conns.Get(ref); err == nil && m != nil {
+	if m = ms.conns.Get(ref); err == nil && m != nil {
 		m.sent = true
 	}
 }
 
 // probeText is the probe that tells most where the settings allow it.
-func (g *Gateway) probeText() string {
-	if g.names.LoadReport.How == "none" {
+func (ms *members) probeText() string {
+	if ms.g.names.LoadReport.How == "none" {
 		return "SELECT 1"
 	}
 	return "SHOW stats"
 }
 
-func (g *Gateway) probe(server decide.Server) {
-	now := g.clock.now()
-	g.connect(server, job{probe: true, at: now, until: now + decide.Millis(g.names.Limits.ConnectTimeoutMs)})
+func (ms *members) probe(server decide.Server) {
+	now := ms.g.clock.now()
+	ms.connect(server, job{probe: true, at: now, until: now + decide.Millis(ms.g.names.Limits.ConnectTimeoutMs)})
 }
 
 func serverOf(a netip.AddrPort) (s decide.Server) {
@@ -208,10 +216,10 @@
 	return s
 }
 
-func (g *Gateway) memberOpened(c gnet.Conn, ref slots.Ref) ([]byte, gnet.Action) {
-	m := g.conns.Get(ref)
+func (ms *members) memberOpened(c gnet.Conn, ref slots.Ref) ([]byte, gnet.Action) {
+	m := ms.conns.Get(ref)
 	if m == nil || m.abandoned {
-		g.release(ref)
+		ms.release(ref)
 		return nil, gnet.Close
 	}
 	m.conn, m.phase = c, starting
@@ -219,131 +227,131 @@
 }
 
 // release is the one place where a member's connection is given back.
-func (g *Gateway) release(ref slots.Ref) {
-	m := g.conns.Get(ref)
+func (ms *members) release(ref slots.Ref) {
+	m := ms.conns.Get(ref)
 	if m == nil {
 		return
 	}
-	g.deadlines.Drop(m.connect)
-	g.deadlines.Drop(m.patience)
-	g.answering -= m.held
-	p := g.poolOf(m.server)
+	ms.g.deadlines.Drop(m.connect)
+	ms.g.deadlines.Drop(m.patience)
+	ms.answering -= m.held
+	p := ms.poolOf(m.server)
 	if m.phase == idle {
 		p.idle = slices.DeleteFunc(p.idle, func(r slots.Ref) bool { return r == ref })
 	}
 	if len(p.idle) == 0 {
-		delete(g.pools, m.server)
+		delete(ms.pools, m.server)
 	}
 	if m.conn != nil {
 		_ = m.conn.Close()
 	}
-	g.conns.Free(ref)
+	ms.conns.Free(ref)
 }
 
 // memberClosed comes when a connection broke or could not be had. flushed says that nothing is left that was
 // to be written.
-func (g *Gateway) memberClosed(ref slots.Ref, flushed bool) {
-	m := g.conns.Get(ref)
+func (ms *members) memberClosed(ref slots.Ref, flushed bool) {
+	m := ms.conns.Get(ref)
 	if m == nil {
 		return
 	}
 	if m.working {
 		switch {
 		case m.phase == busy && m.answer.problem.Fatal && !m.broken && m.conn.InboundBuffered() == m.answer.read:
-			g.finish(ref, resultOf(m.answer.problem.Code), true) // after which no ReadyForQuery is due
+			ms.finish(ref, resultOf(m.answer.problem.Code), true) // after which no ReadyForQuery is due
 		case m.sent && flushed:
-			g.finish(ref, decide.Broken, false)
+			ms.finish(ref, decide.Broken, false)
 		case m.phase == dialling || m.answer.problem.Code == "53300": // it has no connection to give
-			g.finish(ref, decide.Unreachable, false)
+			ms.finish(ref, decide.Unreachable, false)
 		default:
-			g.finish(ref, decide.Reset, false)
+			ms.finish(ref, decide.Reset, false)
 		}
 	}
-	g.release(ref)
+	ms.release(ref)
 }
 
 // giveUp ends a connection's job. A query that was begun is given up by closing the connection; one that was
 // not leaves the connection to come up and be of use to another.
-func (g *Gateway) giveUp(ref slots.Ref, r decide.Result) {
-	m := g.conns.Get(ref)
+func (ms *members) giveUp(ref slots.Ref, r decide.Result) {
+	m := ms.conns.Get(ref)
 	if m.phase != busy {
 		r = decide.Moot // it was never written: the member is not silent, and nothing ran
 	}
-	g.finish(ref, r, false)
+	ms.finish(ref, r, false)
 	if m.phase == busy {
-		g.release(ref)
+		ms.release(ref)
 	}
 }
 
-func (g *Gateway) submissionTimedOut(ref slots.Ref) {
-	switch m := g.conns.Get(ref); {
+func (ms *members) submissionTimedOut(ref slots.Ref) {
+	switch m := ms.conns.Get(ref); {
 	case m == nil || !m.working:
-	case m.heardAt > 0 && g.clock.now() < min(m.job.until, m.heardAt+mostStill):
-		g.awaitRest(ref, m)
-	case m.heardAt > 0 && g.clock.now() < m.job.until:
-		g.memberRefused(ref)
+	case m.heardAt > 0 && ms.g.clock.now() < min(m.job.until, m.heardAt+mostStill):
+		ms.awaitRest(ref, m)
+	case m.heardAt > 0 && ms.g.clock.now() < m.job.until:
+		ms.memberRefused(ref)
 	default:
-		g.giveUp(ref, decide.TimedOut)
+		ms.giveUp(ref, decide.TimedOut)
 	}
 }
 
 // connectTimedOut ends a connection that did not come up. A dial is left to end by itself, as it holds its
 // descriptors until then.
-func (g *Gateway) connectTimedOut(ref slots.Ref) {
-	m := g.conns.Get(ref)
+func (ms *members) connectTimedOut(ref slots.Ref) {
+	m := ms.conns.Get(ref)
 	if m == nil || m.phase > starting {
 		return
 	}
 	if m.working {
-		g.finish(ref, decide.Unreachable, false)
+		ms.finish(ref, decide.Unreachable, false)
 	}
 	if m.phase == dialling {
 		m.abandoned = true
 		return
 	}
-	g.release(ref)
+	ms.release(ref)
 }
 
-func (g *Gateway) idleTooLong(ref slots.Ref) {
-	if m := g.conns.Get(ref); m != nil && m.phase == idle {
-		g.release(ref)
+func (ms *members) idleTooLong(ref slots.Ref) {
+	if m := ms.conns.Get(ref); m != nil && m.phase == idle {
+		ms.release(ref)
 	}
 }
 
 // closeIdle closes the idle connections to a member.
-func (g *Gateway) closeIdle(server decide.Server) {
-	for p := g.pools[server]; p != nil && len(p.idle) > 0; {
-		g.release(p.idle[len(p.idle)-1])
+func (ms *members) closeIdle(server decide.Server) {
+	for p := ms.pools[server]; p != nil && len(p.idle) > 0; {
+		ms.release(p.idle[len(p.idle)-1])
 	}
 }
 
 // toIdle puts a connection that is ready for a query back into the pool.
-func (g *Gateway) toIdle(ref slots.Ref) {
-	m := g.conns.Get(ref)
-	m.phase, m.since = idle, g.clock.now()
-	p := g.poolOf(m.server)
+func (ms *members) toIdle(ref slots.Ref) {
+	m := ms.conns.Get(ref)
+	m.phase, m.since = idle, ms.g.clock.now()
+	p := ms.poolOf(m.server)
 	p.idle = append(p.idle, ref)
 	// Clearly before the member closes it: what is written to it from then on ends as a reset.
-	m.patience = g.deadlines.Add(int64(m.since+decide.Millis(0.8*g.names.Limits.KeepaliveMs)),
+	m.patience = ms.g.deadlines.Add(int64(m.since+decide.Millis(0.8*ms.g.names.Limits.KeepaliveMs)),
 		due{kind: dueIdle, ref: ref})
 }
 
 // finish ends a connection's job for the module, with what the member told of itself, if it did.
-func (g *Gateway) finish(ref slots.Ref, r decide.Result, told bool) {
-	m := g.conns.Get(ref)
+func (ms *members) finish(ref slots.Ref, r decide.Result, told bool) {
+	m := ms.conns.Get(ref)
 	m.working = false
-	g.deadlines.Drop(m.patience)
+	ms.g.deadlines.Drop(m.patience)
 	m.patience = nil
 	var a *answer
 	if told {
 		a = &m.answer
 	}
-	g.noteEnd(m.job, m.server, r, a)
+	ms.noteEnd(m.job, m.server, r, a)
 }
 
 // noteEnd notes the end of a job for the module.
-func (g *Gateway) noteEnd(j job, server decide.Server, r decide.Result, a *answer) {
-	in := input{kind: inEnded, ref: j.txn, no: j.no, server: server, result: r, elapsed: g.clock.now() - j.at,
+func (ms *members) noteEnd(j job, server decide.Server, r decide.Result, a *answer) {
+	in := input{kind: inEnded, ref: j.txn, no: j.no, server: server, result: r, elapsed: ms.g.clock.now() - j.at,
 		fence: j.fence, group: j.group}
 	if j.probe {
 		in.kind = inProbed
@@ -351,15 +359,15 @@
 	if a != nil {
 		in.report = a.report
 		in.role = a.role
-		in.position, _ = g.position(a.position)
+		in.position, _ = ms.position(a.position)
 	}
-	g.inputs = append(g.inputs, in)
+	ms.g.inputs = append(ms.g.inputs, in)
 }
 
 // position is a position on the gateway's clock, 0 where it was not told or lies ahead.
-func (g *Gateway) position(unixMs float64) (at decide.Nanos, ok bool) {
-	at = g.clock.at(unixMs)
-	if unixMs <= 0 || at > g.clock.now()+mostEarly+decide.Nanos(g.config.ClockError) {
+func (ms *members) position(unixMs float64) (at decide.Nanos, ok bool) {
+	at = ms.g.clock.at(unixMs)
+	if unixMs <= 0 || at > ms.g.clock.now()+mostEarly+decide.Nanos(ms.g.config.ClockError) {
 		return 0, false
 	}
 	return at, true
@@ -377,16 +385,16 @@
 }
 
 // readMember reads what a member sent.
-func (g *Gateway) readMember(ref slots.Ref) {
+func (ms *members) readMember(ref slots.Ref) {
 	for {
-		m := g.conns.Get(ref)
+		m := ms.conns.Get(ref)
 		if m == nil {
 			return
 		}
 		// Until a message is whole its buffer is not looked at: to join what a ring holds in two parts costs a copy.
 		here := m.conn.InboundBuffered()
 		if here < m.needs {
-			g.part(ref, m, here)
+			ms.part(ref, m, here)
 			return
 		}
 		buf, err := m.conn.Peek(-1)
@@ -396,7 +404,7 @@
 		a := &m.answer
 		kind, body, size, err := pgwire.Message(buf[a.read:], mostAnswer)
 		if err != nil || len(buf) > mostAnswer || !pgwire.MayBegin(buf[a.read:], mostAnswer) {
-			g.memberRefused(ref)
+			ms.memberRefused(ref)
 			return
 		}
 		m.needs = 0
@@ -404,7 +412,7 @@
 			if rest := buf[a.read:]; len(rest) >= pgwire.HeadSize+pgwire.ColumnHead {
 				m.needs = a.read + pgwire.Size(rest)
 			}
-			g.part(ref, m, here)
+			ms.part(ref, m, here)
 			return
 		}
 		from := a.read
@@ -418,10 +426,10 @@
 			_, _ = m.conn.Discard(size)
 			a.read = 0
 		case kind == 'S':
-			ok = g.parameter(a, body)
+			ok = ms.parameter(a, body)
 		case kind == 'N':
 		case kind == 'Z':
-			ok = bytes.Equal(body, []byte{'I'}) && g.ready(ref, m, buf)
+			ok = bytes.Equal(body, []byte{'I'}) && ms.ready(ref, m, buf)
 		case m.phase == starting && kind == 'R':
 			ok = bytes.Equal(body, []byte{0, 0, 0, 0})
 		case m.phase == starting && kind == 'K':
@@ -448,49 +456,49 @@
 			ok = false
 		}
 		if !ok {
-			g.memberRefused(ref)
+			ms.memberRefused(ref)
 			return
 		}
 	}
 }
 
 // part notes that an answer is not whole yet. All of them together are held to a part of the memory.
-func (g *Gateway) part(ref slots.Ref, m *memberConn, here int) {
-	g.answering += here - m.held
+func (ms *members) part(ref slots.Ref, m *memberConn, here int) {
+	ms.answering += here - m.held
 	m.held = here
 	if here == 0 || m.phase != busy || !m.working {
 		return
 	}
-	if g.answering > g.config.Limits.MemoryMB<<20/memoryPart {
-		g.memberRefused(ref)
+	if ms.answering > ms.g.config.Limits.MemoryMB<<20/memoryPart {
+		ms.memberRefused(ref)
 		return
 	}
 	first := m.heardAt == 0
-	m.heardAt = g.clock.now()
-	g.inputs = append(g.inputs, input{kind: inHeard, server: m.server})
+	m.heardAt = ms.g.clock.now()
+	ms.g.inputs = append(ms.g.inputs, input{kind: inHeard, server: m.server})
 	if first {
-		g.awaitRest(ref, m)
+		ms.awaitRest(ref, m)
 	}
 }
 
 // awaitRest sets until when the next part of an answer has to come.
-func (g *Gateway) awaitRest(ref slots.Ref, m *memberConn) {
-	g.deadlines.Drop(m.patience)
-	m.patience = g.deadlines.Add(int64(min(m.job.until, m.heardAt+mostStill)), due{kind: dueSubmission, ref: ref})
+func (ms *members) awaitRest(ref slots.Ref, m *memberConn) {
+	ms.g.deadlines.Drop(m.patience)
+	m.patience = ms.g.deadlines.Add(int64(min(m.job.until, m.heardAt+mostStill)), due{kind: dueSubmission, ref: ref})
 }
 
 // memberRefused ends a connection that brought what it should not have.
-func (g *Gateway) memberRefused(ref slots.Ref) {
-	m := g.conns.Get(ref)
+func (ms *members) memberRefused(ref slots.Ref) {
+	m := ms.conns.Get(ref)
 	if m == nil {
 		return
 	}
 	if m.working && m.phase == starting && m.answer.problem.Code == "53300" && m.job.probe {
 		// It has no connection to give, yet it answered: that is what a probe asks.
-		g.finish(ref, decide.Committed, false)
+		ms.finish(ref, decide.Committed, false)
 	}
 	m.broken = true
-	g.memberClosed(ref, true)
+	ms.memberClosed(ref, true)
 }
 
 func (a *answer) take(from, size int) {
@@ -502,7 +510,7 @@
 }
 
 // parameter takes what a member tells of itself.
-func (g *Gateway) parameter(a *answer, body []byte) bool {
+func (ms *members) parameter(a *answer, body []byte) bool {
 	name, value, ok := pgwire.Parameter(body)
 	if !ok {
 		return false
@@ -518,15 +526,15 @@
 	case "wal_time":
 		a.position, _ = pgwire.Number(value)
 	case "stats":
-		a.report = g.reportOf(value)
+		a.report = ms.reportOf(value)
 	}
 	return true
 }
 
 // reportOf gives a report's values in the order in which the settings name them. One that cannot be read, or
 // lacks a value, tells nothing: a value that is not there is not zero.
-func (g *Gateway) reportOf(text []byte) []float64 {
-	report := make([]float64, len(g.names.LoadReport.Fields))
+func (ms *members) reportOf(text []byte) []float64 {
+	report := make([]float64, len(ms.g.names.LoadReport.Fields))
 	for i := range report {
 		report[i] = -1
 	}
@@ -538,12 +546,12 @@
 		if !ok {
 			return nil
 		}
-		i := slices.Index(g.names.LoadReport.Fields, string(name))
+		i := slices.Index(ms.g.names.LoadReport.Fields, string(name))
 		if i < 0 {
 			continue
 		}
 		if string(name) == "x0" {
-			at, ok := g.position(x)
+			at, ok := ms.position(x)
 			if !ok {
 				return nil
 			}
@@ -558,11 +566,11 @@
 }
 
 // ready takes ReadyForQuery: a connection has come up, or an answer is whole.
-func (g *Gateway) ready(ref slots.Ref, m *memberConn, buf []byte) bool {
+func (ms *members) ready(ref slots.Ref, m *memberConn, buf []byte) bool {
 	a := &m.answer
 	switch m.phase {
 	case starting:
-		g.deadlines.Drop(m.connect)
+		ms.g.deadlines.Drop(m.connect)
 		m.connect = nil
 		_, _ = m.conn.Discard(a.read)
 		a.read = 0
@@ -570,10 +578,10 @@
 			return false
 		}
 		if m.working {
-			g.begin(ref)
+			ms.begin(ref)
 		} else {
 			m.answer = answer{}
-			g.toIdle(ref)
+			ms.toIdle(ref)
 		}
 		return true
 	case busy:
@@ -588,37 +596,37 @@
 		return false
 	}
 	if m.job.probe {
-		if a.problem.Code == "" && g.names.LoadReport.How != "none" {
-			a.report = g.reportOf(buf[a.valueFrom : a.valueFrom+a.value])
+		if a.problem.Code == "" && ms.g.names.LoadReport.How != "none" {
+			a.report = ms.reportOf(buf[a.valueFrom : a.valueFrom+a.value])
 		}
 	} else if r == decide.Committed {
-		parts := g.parts[:0]
+		parts := ms.g.parts[:0]
 		for _, p := range a.parts {
 			parts = append(parts, buf[p[0]:p[1]])
 		}
-		g.parts = parts
-		if t := g.txns.Get(m.job.txn); g.sessions != nil && t != nil && !t.answered && t.writes {
-			if token := g.sessions.committed(t, a.position); token != nil {
+		ms.g.parts = parts
+		if t := ms.g.txns.Get(m.job.txn); ms.g.sessions != nil && t != nil && !t.answered && t.writes {
+			if token := ms.g.sessions.committed(t, a.position); token != nil {
 				parts = append(parts, token)
 			}
 		}
 		parts = append(parts, pgwire.AppendReady(nil))
-		if g.sessions != nil && g.sessions.waits(m.job.txn) {
-			g.answerLater(m.job.txn, parts...)
-			g.sessions.marks.keep(m.job.txn)
+		if ms.g.sessions != nil && ms.g.sessions.waits(m.job.txn) {
+			ms.g.answerLater(m.job.txn, parts...)
+			ms.g.sessions.marks.keep(m.job.txn)
 		} else {
-			g.answer(m.job.txn, parts...)
+			ms.g.answer(m.job.txn, parts...)
 		}
 	}
-	g.finish(ref, r, true)
-	g.answering -= m.held
+	ms.finish(ref, r, true)
+	ms.answering -= m.held
 	m.held = 0
 	_, _ = m.conn.Discard(a.read)
 	*a = answer{parts: a.parts[:0]}
 	if m.conn.InboundBuffered() > 0 {
-		g.release(ref) // nobody asked for more
+		ms.release(ref) // nobody asked for more
 		return true
 	}
-	g.toIdle(ref)
+	ms.toIdle(ref)
 	return true
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"log/slog"
 	"net"
 	"sync"
 
@@ -12,16 +13,18 @@
 // peers carries datagrams between gateways. One goroutine reads and leaves what came for the loop, which reads,
 // authenticates and writes; a datagram that can't be taken or sent at once is lost, as on any network.
 type peers struct {
-	conn  *net.UDPConn
-	raw   rawConn
-	wire  *peerwire.Wire
-	to    []unix.SockaddrInet4
-	out   []byte
-	lost  uint64 // that could not be sent at once
-	mu    sync.Mutex
-	came  [][]byte
-	spare [][]byte
-	over  uint64 // that came while too many waited for the loop
+	conn         *net.UDPConn
+	raw          rawConn
+	wire         *peerwire.Wire
+	to           []unix.SockaddrInet4
+	out          []byte
+	log          *slog.Logger
+	causes, next map[error]int // of what was refused; at which count it is logged
+	lost         uint64        // that could not be sent at once
+	mu           sync.Mutex
+	came         [][]byte
+	spare        [][]byte
+	over         uint64 // that came while too many waited for the loop
 }
 
 type rawConn interface {
@@ -33,7 +36,7 @@
 
 // listenPeers takes the address at which other gateways reach this one, before it serves anybody: a former run that
 // still holds it would else answer for this one.
-func listenPeers(p *SessionPlan, run uint32) (*peers, error) {
+func listenPeers(p *SessionPlan, run uint32, log *slog.Logger) (*peers, error) {
 	wire, err := peerwire.New(p.Terms.Self, p.fleet(), run, p.keys())
 	if err != nil {
 		return nil, err
@@ -47,7 +50,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	ps := &peers{conn: conn, raw: raw, wire: wire}
+	ps := &peers{conn: conn, raw: raw, wire: wire, log: log, causes: map[error]int{}, next: map[error]int{}}
 	for _, g := range p.Gateways {
 		ps.to = append(ps.to, unix.SockaddrInet4{Port: int(g.Port()), Addr: g.Addr().As4()})
 	}
@@ -87,15 +90,27 @@
 	p.came = nil
 	p.mu.Unlock()
 	for _, text := range came {
-		if m, err := p.wire.Read(text); err == nil {
-			f(m)
+		m, err := p.wire.Read(text)
+		if err != nil {
+			p.refused(err)
+			continue
 		}
+		f(m)
 	}
 	p.mu.Lock()
 	p.spare = append(p.spare, came[:min(len(came), mostWaiting-len(p.spare))]...)
 	p.mu.Unlock()
 }
 
+// refused logs what was refused, by cause: the first, the tenth, the hundredth and so on.
+func (p *peers) refused(cause error) {
+	p.causes[cause]++
+	if n := p.causes[cause]; n == p.next[cause] || n == 1 {
+		p.next[cause] = n * 10
+		p.log.Warn("message between gateways refused", "why", cause, "so_many", n, "read", p.wire.Counts.Read)
+	}
+}
+
 // send writes a message to a gateway, without waiting.
 func (p *peers) send(to int, m *peerwire.Message) {
 	var err error
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -44,7 +44,7 @@
 		}
 	}
 	if len(s.plan.Gateways) > 1 {
-		if s.peers, err = listenPeers(s.plan, run); err != nil {
+		if s.peers, err = listenPeers(s.plan, run, s.g.log); err != nil {
 			s.close()
 			return err
 		}
@@ -127,7 +127,7 @@
 		return nil
 	}
 	p := session.Position(0)
-	if at, ok := s.g.position(unixMs); ok {
+	if at, ok := s.g.members.position(unixMs); ok {
 		p = s.position(at)
 	}
 	s.module.Committed(t.comment.Group, t.session, p)
@@ -238,7 +238,7 @@
 		return
 	}
 	now := s.g.clock.now()
-	s.g.connect(server, job{probe: true, fence: no, group: group, at: now, until: now + decide.Nanos(s.plan.Terms.FenceWait)})
+	s.g.members.connect(server, job{probe: true, fence: no, group: group, at: now, until: now + decide.Nanos(s.plan.Terms.FenceWait)})
 }
 
 func (s *sessions) send(d *session.Decision) {
--- a/gateway/sessions_test.go
+++ b/gateway/sessions_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -426,3 +428,20 @@
 		})
 	}
 }
+
+// Gateways whose lists or keys differ do not believe one another, say so once, and fence.
+func Example_otherKey() {
+	_, members := group(100*time.Millisecond, 1)
+	f := newFleet(2, covered, members...)
+	defer f.stop()
+	p := f.gateways[1]
+	p.kill()
+	must(os.WriteFile(filepath.Join(f.dir, "key"), []byte(strings.Repeat("cd", 32)), 0o600))
+	p.start()
+	c := f.front.NewClient("ba01", classes)
+	fmt.Println(c.Write(0, "o1", "1"), persist(c, 1))
+	fmt.Println(strings.Contains(p.logged("refused"), "bad authenticator"))
+	// Output:
+	// served 1 served 1
+	// true
+}
--- a/gateway/txns.go
+++ b/gateway/txns.go
@@ -49,7 +49,7 @@
 	if g.names.Classes[class].Effect == "by_key" && comment.Key == nil {
 		return "the comment lacks k, which this txn type needs"
 	}
-	if !g.list.groups[comment.Group] { // the module keeps what it knows of each group that it is told of
+	if !g.discovery.list.groups[comment.Group] { // the module keeps what it knows of each group that it is told of
 		return "cluster is none of the list's"
 	}
 	if _, open := g.byID[comment.ID]; open {
@@ -138,10 +138,10 @@
 	}
 	t.answered = true
 	who, size := t.client, t.size
-	c := g.clients.Get(who)
+	c := g.clients.open.Get(who)
 	c.txn = slots.Ref{}
 	_, _ = c.conn.Writev(parts) // one that fails ends the connection within it
-	if c = g.clients.Get(who); c != nil {
+	if c = g.clients.open.Get(who); c != nil {
 		_, _ = c.conn.Discard(size)
 		g.inputs = append(g.inputs, input{kind: inReadable, ref: who})
 	}
@@ -220,7 +220,7 @@
 		return
 	}
 	job := job{txn: ref, no: no, at: g.clock.now(), until: until}
-	on := g.connect(server, job)
+	on := g.members.connect(server, job)
 	if t = g.txns.Get(ref); t != nil {
 		t.subs = append(t.subs, on)
 	}
@@ -231,8 +231,8 @@
 	ref := g.byID[id]
 	if t := g.txns.Get(ref); t != nil && no < len(t.subs) {
 		on := t.subs[no]
-		if m := g.conns.Get(on); m != nil && m.job.txn == ref && m.job.no == no {
-			g.giveUp(on, decide.Cancelled)
+		if m := g.members.conns.Get(on); m != nil && m.job.txn == ref && m.job.no == no {
+			g.members.giveUp(on, decide.Cancelled)
 		}
 	}
 }
@@ -256,7 +256,7 @@
 	if t == nil || t.answered {
 		return nil, false
 	}
-	buf, err := g.clients.Get(t.client).conn.Peek(t.size)
+	buf, err := g.clients.open.Get(t.client).conn.Peek(t.size)
 	if err != nil {
 		return nil, false
 	}
