Generations in the gateway: changes of routes, tenants and members applied at one instant

Need: a bad route table harms every counter at once, and everything but one address needed a restart.

A txn is bound to the generation that it arrives under, its route, tenant and shares with it; what is in flight is carried over by tenant. Excluded and drained members are told to the module as draining, the list's own drains go first, and their connections are given back with the last answer (they stayed up to 12 s). The operator's file has route, tenant, in_flight, exclude, drain and watch; SIGHUP applies them, watched; Gateway has Apply, Keep, Undo, Status.

A retry storm is no jump of traffic: without that the bad table was never judged.

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -65,6 +65,8 @@
 	due      *deadlines.Entry[due] // when that has to end
 	row      *list.Element         // its place among those that are fresh or quiet
 	openedAt decide.Nanos
+	user     string
+	database string
 	admitted bool         // past the startup message
 	asked    bool         // has sent a query that was one
 	counted  bool         // has a descriptor of the budget; who has none is turned away
@@ -411,6 +413,7 @@
 		return 0
 	case kind == pgwire.Startup:
 		c.admitted = true
+		c.user, c.database = pgwire.StartupNames(buf[:size])
 		cs.writeClient(c, pgwire.AppendWelcome(cs.g.scratch[:0]))
 	}
 	return size
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -29,6 +29,7 @@
 	// What the operator's own file says, see deploy/; the platform does not know it.
 	Log        *slog.Logger  `json:"-"` // nil is the default
 	Sessions   *SessionPlan  `json:"-"`
+	Change     *Change       `json:"-"` // applied at the start, and kept at once
 	ClockError time.Duration `json:"-"` // how far the clocks of machines may differ; positions up to this far ahead are believed
 }
 
@@ -75,6 +76,9 @@
 		HardLimit float64 `json:"hardLimitMs"`
 		Effect    string
 		Window    float64 `json:"windowMs"`
+		PromiseMs float64
+		Worth     float64
+		LateValue float64
 	}
 	FamilyInfo struct {
 		Consistency []string
--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -26,7 +26,8 @@
 type discovery struct {
 	g     *Gateway
 	list  roster
-	calls [2]call // by callKind
+	calls [2]call                // by callKind
+	leave map[decide.Server]bool // that get nothing new
 }
 
 // callKind tells the calls apart; each has a connection of its own, as a watch holds up what is behind it.
@@ -240,6 +241,7 @@
 // leaves tells that a host is gone, unless another has its address by now.
 func (ds *discovery) leaves(name string, h host) {
 	delete(ds.list.hosts, name)
+	delete(ds.leave, h.server)
 	for _, o := range ds.list.hosts {
 		if o.server == h.server {
 			return
@@ -252,7 +254,7 @@
 
 func (ds *discovery) tellHost(e httpwire.Host) {
 	status := decide.Ready
-	switch e.Health {
+	switch ds.g.generations.health(&e) {
 	case "active":
 	case "leaving":
 		status = decide.Draining
@@ -277,7 +279,9 @@
 	ds.list.groups[e.Block] = true
 	kind := slices.Index(ds.g.names.MachineTypes, e.Class)
 	ds.g.module.Listed(server, e.Block, e.Mode == "read-write", status, zone, e.Share, kind, ds.g.clock.at(e.BornMs))
+	delete(ds.leave, server)
 	if status != decide.Ready {
+		ds.leave[server] = true
 		ds.g.members.closeIdle(server)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"magpieglade/decide"
 	"magpieglade/internal/deadlines"
 	"magpieglade/internal/slots"
+	"magpieglade/routes"
 )
 
 // Gateway is one gateway. Its fields belong to the event loop once Run has begun.
@@ -50,11 +51,13 @@
 	members   members
 	discovery discovery
 	scratch   []byte
+	lookup    routes.Txn
 	raised    []byte // a statement with the floor of its read
 	parts     [][]byte
 	counts    counts
 
-	sessions *sessions // nil where the operator says nothing of them
+	generations *generations
+	sessions    *sessions // nil where the operator says nothing of them
 
 	leaving bool // told to end
 	closing bool // and done with new work
@@ -82,9 +85,10 @@
 		log:  cmp.Or(c.Log, slog.Default()).With("gateway", c.Name),
 		byID: map[uint64]slots.Ref{}}
 	g.members = members{g: g, pools: map[decide.Server]*pool{}}
-	g.clients.g, g.discovery.g = g, g
+	g.clients.g, g.discovery.g, g.discovery.leave = g, g, map[decide.Server]bool{}
 	g.budget.free = c.Limits.Sockets - reserve
 	g.budget.all = g.budget.free
+	g.generations = newGenerations(g)
 	if c.Sessions != nil {
 		if g.sessions, err = newSessions(g, c.Sessions, seed); err != nil {
 			return nil, fmt.Errorf("configuration: %w", err)
--- /dev/null
+++ b/gateway/generations.go
@@ -0,0 +1,296 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"magpieglade/decide"
+	"magpieglade/internal/httpwire"
+	"magpieglade/rollout"
+	"magpieglade/routes"
+)
+
+// generations are the configurations that txns run under: the one in force, and older ones until their last txn has
+// ended. They belong to the loop.
+type generations struct {
+	g       *Gateway
+	module  *rollout.Rollout
+	next    rollout.Generation
+	inForce *generation
+	all     map[rollout.Generation]*generation // in force, kept, staged, or with txns under way
+}
+
+// generation is one configuration. A txn is bound to the one that it arrived under, for good.
+type generation struct {
+	no       rollout.Generation
+	document *routes.Document
+	table    *routes.Table // nil for generation 0: all is as the platform says
+	shares   *routes.Shares
+	retries  *routes.Retries
+	txns     int
+	barred   map[string]bool // members that it excludes or drains
+}
+
+func newGenerations(g *Gateway) *generations {
+	zero := &generation{}
+	return &generations{g: g, module: rollout.New(rollout.State{}), inForce: zero,
+		all: map[rollout.Generation]*generation{0: zero}}
+}
+
+// start applies what the operator's file says at the start. What is wrong with it leaves all as the platform says.
+func (gs *generations) start(c *Change) {
+	if c == nil {
+		return
+	}
+	gs.module.Clock(int64(gs.g.clock.now()))
+	_, findings, err := gs.propose(Change{Document: c.Document, Digest: c.Digest})
+	for _, f := range findings {
+		gs.g.log.Warn("operator's file", "finding", f.Error())
+	}
+	if err != nil {
+		gs.g.log.Error("routes and limits are not applied, all is as the platform says", "why", err)
+	}
+}
+
+// Change is a new configuration of routes, tenants and members by hand.
+type Change struct {
+	Document *routes.Document // nil is all as the platform says
+	Digest   uint64           // the same for the same text
+	Watch    int64            // nanoseconds in which it is undone if health worsens; 0 keeps it at once
+	Again    bool             // also if it was undone before
+}
+
+// Apply checks a change and stages it; it is applied, watched, and kept or undone by what Status tells later. Findings
+// that are warnings do not refuse it. It may be called at any time from any goroutine, and waits until Run has begun.
+func (g *Gateway) Apply(ctx context.Context, c Change) (no rollout.Generation, findings []routes.Finding, err error) {
+	err = g.inLoop(ctx, func() error {
+		no, findings, err = g.generations.propose(c)
+		return err
+	})
+	return no, findings, err
+}
+
+// Keep keeps the watched change by hand; Undo undoes it, or drops the staged one.
+func (g *Gateway) Keep(ctx context.Context) error {
+	return g.inLoop(ctx, g.generations.module.KeepNow)
+}
+
+// Undo undoes the watched change by hand, or drops the staged one.
+func (g *Gateway) Undo(ctx context.Context) error {
+	return g.inLoop(ctx, g.generations.module.UndoNow)
+}
+
+// Status tells where changes stand.
+func (g *Gateway) Status(ctx context.Context) (s rollout.Status, err error) {
+	err = g.inLoop(ctx, func() error {
+		s = g.generations.module.Status()
+		s.Finished = slices.Clone(s.Finished)
+		return nil
+	})
+	return s, err
+}
+
+// inLoop runs something on the loop and waits for it.
+func (g *Gateway) inLoop(ctx context.Context, f func() error) error {
+	select {
+	case <-g.started:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	done := make(chan error, 1)
+	g.post(func() {
+		g.generations.module.Clock(int64(g.clock.now()))
+		done <- f()
+	})
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// world is what a document is checked against now.
+func (gs *generations) world() *routes.World {
+	g := gs.g
+	w := &routes.World{Zones: g.names.Zones, Groups: map[int][]routes.Host{}, Descriptors: g.budget.all}
+	for i := range g.names.Classes {
+		c := &g.names.Classes[i]
+		w.Types = append(w.Types, routes.Type{Name: c.Name, HardLimit: int64(decide.Millis(c.HardLimit)), Effect: c.Effect,
+			Need: g.names.FamilyInfo.Consistency[i], Window: int64(decide.Millis(c.Window))})
+	}
+	for _, h := range g.discovery.list.hosts {
+		w.Groups[h.entry.Block] = append(w.Groups[h.entry.Block],
+			routes.Host{Name: h.entry.Host, Zone: h.entry.Site, Draining: h.entry.Health != "active"})
+	}
+	return w
+}
+
+func (gs *generations) propose(c Change) (rollout.Generation, []routes.Finding, error) {
+	x := &generation{document: c.Document, barred: map[string]bool{}}
+	var findings []routes.Finding
+	if c.Document != nil {
+		if x.table, findings = routes.Compile(c.Document, gs.world()); x.table == nil {
+			return 0, findings, fmt.Errorf("the change is refused, the former configuration stays")
+		}
+		for _, m := range slices.Concat(c.Document.Excluded, c.Document.Drained) {
+			x.barred[m.Name] = true
+		}
+	}
+	x.no = gs.next + 1
+	if err := gs.module.Propose(rollout.Change{Generation: x.no, Digest: c.Digest, Watch: c.Watch, Again: c.Again}); err != nil {
+		return 0, findings, err
+	}
+	gs.next = x.no
+	gs.all[x.no] = x
+	return x.no, findings, nil
+}
+
+// carryOut does what the module decides until there is nothing left.
+func (gs *generations) carryOut() {
+	gs.module.Clock(int64(gs.g.clock.now()))
+	for {
+		d, ok := gs.module.Next()
+		if !ok {
+			return
+		}
+		switch d.Kind {
+		case rollout.Apply, rollout.Undo:
+			gs.enter(gs.all[d.Generation])
+		case rollout.Keep:
+			gs.forget()
+		case rollout.Wake:
+			gs.g.deadlines.Add(int64(gs.g.clock.now())+d.After, due{kind: dueWake})
+		case rollout.Log:
+			gs.g.log.Info(d.Text)
+		}
+	}
+}
+
+// enter puts a generation in force, for all that arrives from now on, at this one point of the loop. What is under
+// way counts against the shares of its tenants, by name, whatever generation began it.
+func (gs *generations) enter(x *generation) {
+	now := int64(gs.g.clock.now())
+	before := gs.inForce
+	gs.inForce = x
+	if x.table != nil {
+		x.shares, x.retries = routes.NewShares(x.table, now), routes.NewRetries(x.table)
+		for _, ref := range gs.g.txns.Refs() {
+			if t := gs.g.txns.Get(ref); t.counted {
+				gs.carry(x, t)
+			}
+		}
+	}
+	gs.listed(before, x)
+	gs.forget()
+}
+
+// carry counts a txn of another generation against the tenant of its name, if there is one.
+func (gs *generations) carry(x *generation, t *txn) {
+	t.shares, t.tenant = x.shares, -1
+	if t.generation.table != nil && t.route.Tenant >= 0 {
+		name := t.generation.table.Tenants[t.route.Tenant].Name
+		t.tenant = int32(slices.IndexFunc(x.table.Tenants, func(n routes.Tenant) bool { return n.Name == name }))
+	}
+	x.shares.Carry(t.tenant, int64(t.size))
+}
+
+// listed tells the module of members whose bar has changed. A drain of the list's goes before any table.
+func (gs *generations) listed(before, after *generation) {
+	told := false
+	for _, h := range gs.g.discovery.list.hosts {
+		if before.barred[h.entry.Host] != after.barred[h.entry.Host] {
+			gs.g.discovery.tellHost(h.entry)
+			told = true
+		}
+	}
+	if told {
+		gs.g.module.ListEnds(decide.Delta)
+	}
+}
+
+// health is what the list says of a host, or the generation in force does.
+func (gs *generations) health(e *httpwire.Host) string {
+	if e.Health == "active" && gs.inForce.barred[e.Host] {
+		return "leaving"
+	}
+	return e.Health
+}
+
+// forget drops generations that nothing needs any more.
+func (gs *generations) forget() {
+	s := gs.module.Status()
+	for no, x := range gs.all {
+		if x.txns == 0 && x != gs.inForce && no != s.Kept && no != s.Staged && no != s.InForce {
+			delete(gs.all, no)
+		}
+	}
+}
+
+// arrive binds a txn to the generation in force. why is why it is refused, with when to come back.
+func (gs *generations) arrive(t *txn, x *routes.Txn) (why routes.Why, after int64) {
+	t.generation = gs.inForce
+	t.route = routes.Answer{Route: -1, Type: int32(x.Type), Tenant: -1}
+	if t.generation.table == nil {
+		return routes.Free, 0
+	}
+	t.route = t.generation.table.Lookup(x)
+	now := int64(gs.g.clock.now())
+	if why, after = t.generation.shares.May(t.route.Tenant, int64(t.size), now); why != routes.Free {
+		return why, after
+	}
+	t.shares, t.tenant = t.generation.shares, t.route.Tenant
+	return routes.Free, 0
+}
+
+// begin counts a txn that arrive allowed; end takes it back, once.
+func (gs *generations) begin(t *txn) {
+	t.generation.txns++
+	t.counted = true
+	if t.shares != nil {
+		t.shares.Begin(t.tenant, int64(t.size), int64(gs.g.clock.now()))
+	}
+}
+
+func (gs *generations) end(t *txn) {
+	if !t.counted {
+		return
+	}
+	t.counted = false
+	if t.shares != nil {
+		t.shares.End(t.tenant, int64(t.size))
+	}
+	if t.generation.txns--; t.generation.txns == 0 && t.generation != gs.inForce {
+		gs.forget()
+	}
+}
+
+// served tells of a txn's end for the health of its route.
+func (gs *generations) served(t *txn, committed bool) {
+	c := &gs.g.names.Classes[t.class]
+	got := 0.0
+	if took := gs.g.clock.now() - t.arrived; committed && took <= decide.Millis(c.PromiseMs) {
+		got = c.Worth
+	} else if committed {
+		got = c.Worth * c.LateValue
+	}
+	route := int32(-1)
+	if t.generation == gs.inForce {
+		route = t.route.Route
+	}
+	gs.module.Served(route, c.Worth, got)
+}
+
+// mayRepeat tells whether a repeatable txn may be sent once more, by its route's budget.
+func (gs *generations) mayRepeat(t *txn, no int) bool {
+	if t.generation == nil || t.generation.table == nil || t.route.Route < 0 {
+		return true
+	}
+	now := int64(gs.g.clock.now())
+	if no == 0 {
+		t.generation.retries.First(t.route.Route, now)
+		return true
+	}
+	return gs.g.names.Classes[t.class].Effect != "repeatable" || t.generation.retries.May(t.route.Route, now)
+}
--- /dev/null
+++ b/gateway/generations_test.go
@@ -0,0 +1,275 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"magpieglade/gateway"
+	"magpieglade/rollout"
+	"magpieglade/routes"
+	"magpieglade/standin"
+)
+
+var bg = context.Background()
+
+// changed applies a document and waits until it is in force.
+func changed(t testing.TB, g *gateway.Gateway, d *routes.Document, watch time.Duration) rollout.Generation {
+	t.Helper()
+	no, findings, err := g.Apply(bg, gateway.Change{Document: d, Digest: uint64(time.Now().UnixNano()), Watch: int64(watch)})
+	if err != nil {
+		t.Fatal(err, findings)
+	}
+	until(func() bool {
+		s, err := g.Status(bg)
+		must(err)
+		return s.InForce == no || s.Staged != no
+	})
+	return no
+}
+
+// expiring is a document under which each txn may take so long, which members are told.
+func expiring(after time.Duration) *routes.Document {
+	return &routes.Document{Routes: []routes.Route{{Name: "all", Expiry: int64(after), Retries: -1}}}
+}
+
+// Hundreds of changes under load: each txn goes by the generation that was in force when it arrived, whole. A txn that
+// was sent after a change was in force never goes by an older one.
+func TestOneInstant(t *testing.T) {
+	g0, members := group(0, 1)
+	address, g, _ := embeddedWith(t, func(c *gateway.Config) { c.Log = slog.New(slog.DiscardHandler) }, members...)
+	front := standin.NewFront(address)
+	var inForce atomic.Int64 // the least expiry that a txn may still go by, in ms: those in force before and after
+	var wg sync.WaitGroup
+	done := make(chan struct{})
+	var bad, asked atomic.Int64
+	spans := []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, 700 * time.Millisecond}
+	changed(t, g, expiring(spans[0]), 0)
+	for i := range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c := front.NewClient(fmt.Sprintf("%08x", 0xc00+i), classes)
+			defer c.Close()
+			for k := 0; ; k++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				if a := c.Read(0); a.Code != "" || a.Err != nil {
+					bad.Add(1)
+				}
+				asked.Add(1)
+			}
+		}()
+	}
+	at := 0
+	for k := 1; k <= 200; k++ {
+		span := spans[k%3]
+		changed(t, g, expiring(span), 0)
+		inForce.Store(span.Milliseconds())
+		// What this client sends now arrives under the new one.
+		c := front.NewClient("cafe", classes)
+		c.Time = 900 * time.Millisecond
+		c.Read(0)
+		c.Close()
+		var e standin.Event
+		e, at = g0.AwaitEvent(at, func(e standin.Event) bool { return e.Kind == "read" && e.Code == "cafe" })
+		if e.Limit > span || e.Limit < span-100*time.Millisecond {
+			t.Fatalf("change %d: %v, not %v", k, e.Limit, span)
+		}
+	}
+	close(done)
+	wg.Wait()
+	if bad.Load() > 0 || asked.Load() < 200 {
+		t.Fatalf("%d of %d not served", bad.Load(), asked.Load())
+	}
+	for _, e := range g0.Events() {
+		near := false
+		for _, s := range spans {
+			near = near || e.Limit <= s && e.Limit > s-100*time.Millisecond
+		}
+		if e.Kind == "read" && !near {
+			t.Fatalf("a read goes by no generation: %v", e.Limit)
+		}
+	}
+}
+
+// A change takes out a member that has a txn in flight: that one ends there, nothing new goes there, and its
+// connections are given back. Undone, it gets work again; unless the list drains it meanwhile, which goes first.
+func TestRemovalAndUndo(t *testing.T) {
+	g0, members := group(0, 2)
+	out := members[2]
+	address, g, list := embeddedWith(t, func(c *gateway.Config) { c.Log = slog.New(slog.DiscardHandler) }, members...)
+	front := standin.NewFront(address)
+	list.AwaitTold()
+	for _, m := range members {
+		m.Delay(20 * time.Millisecond)
+	}
+	reads := func(n int) (at map[string]int) {
+		at = map[string]int{}
+		from := len(g0.Events())
+		var wg sync.WaitGroup
+		for i := range n {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				c := front.NewClient(fmt.Sprintf("%08x", 0xd00+i), standin.Classes{Read: "any", Write: "keyed"})
+				defer c.Close()
+				if a := c.Read(0); a.Code != "" || a.Err != nil {
+					t.Error(a)
+				}
+			}()
+		}
+		wg.Wait()
+		for _, e := range g0.Events()[from:] {
+			if e.Kind == "read" {
+				at[e.Member]++
+			}
+		}
+		return at
+	}
+	if at := reads(20); at[out.Name] == 0 {
+		t.Fatal("the member gets nothing to begin with", at)
+	}
+	out.Delay(80 * time.Millisecond) // slow, yet not so slow that reads are tried elsewhere
+	got := make(chan map[string]int)
+	go func() { got <- reads(20) }()
+	until(func() bool { return out.Busy() > 0 })
+	changed(t, g, &routes.Document{Excluded: []routes.Member{{Name: out.Name}}}, time.Hour)
+	if at := <-got; at[out.Name] == 0 {
+		t.Fatal("what was in flight did not end where it was", at)
+	}
+	out.Delay(20 * time.Millisecond)
+	if at := reads(20); at[out.Name] != 0 {
+		t.Fatal("an excluded member gets work", at)
+	}
+	until(func() bool { return out.Connections() == 0 })
+	must(g.Undo(bg))
+	if at := reads(40); at[out.Name] == 0 {
+		t.Fatal("it gets nothing after the undo", at)
+	}
+	changed(t, g, &routes.Document{Excluded: []routes.Member{{Name: out.Name}}}, time.Hour)
+	list.Set(members[0].Host("active"), members[1].Host("active"), out.Host("leaving"))
+	list.AwaitTold()
+	must(g.Undo(bg))
+	time.Sleep(50 * time.Millisecond) // the list has been told; nothing tells when the gateway has read it
+	if at := reads(20); at[out.Name] != 0 {
+		t.Fatal("an undo ends a drain of the list's", at)
+	}
+}
+
+// A bad table under load is undone by itself, and the former behaviour is back; it is not taken a second time.
+func TestBadTableIsUndone(t *testing.T) {
+	_, members := group(0, 1)
+	for _, m := range members {
+		m.Delay(5 * time.Millisecond)
+	}
+	log, lines := logLines()
+	address, g, _ := embeddedWith(t, func(c *gateway.Config) { c.Log = log }, members...)
+	front := standin.NewFront(address)
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c := front.NewClient(fmt.Sprintf("%08x", 0xe00+i), classes)
+			defer c.Close()
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					c.Read(0)
+				}
+			}
+		}()
+	}
+	defer wg.Wait()
+	defer close(done)
+	until(func() bool { // it knows the time before
+		s, err := g.Status(bg)
+		must(err)
+		return strings.HasPrefix(s.Health, "health 0.9") || strings.HasPrefix(s.Health, "health 1")
+	})
+	bad := gateway.Change{Document: expiring(2 * time.Millisecond), Digest: 7, Watch: int64(time.Minute)}
+	from := time.Now()
+	_, _, err := g.Apply(bg, bad)
+	must(err)
+	awaitLine(t, lines, "undone after")
+	if took := time.Since(from); took > 5*time.Second {
+		t.Errorf("undone after %v", took)
+	}
+	c := front.NewClient("e999", classes)
+	defer c.Close()
+	if a := c.Read(0); a.Code != "" || a.Err != nil {
+		t.Error(a)
+	}
+	if _, _, err := g.Apply(bg, bad); err == nil || !strings.Contains(err.Error(), "undone before") {
+		t.Error(err)
+	}
+	bad.Document = &routes.Document{Routes: []routes.Route{{Name: "r", Types: []string{"none"}}}}
+	if _, findings, err := g.Apply(bg, bad); err == nil || len(findings) != 1 {
+		t.Error(findings, err)
+	}
+}
+
+// One tenant floods; the other is served as without it, and the flood is told when to come back.
+func TestFlood(t *testing.T) {
+	_, members := group(0, 1)
+	for _, m := range members {
+		m.Delay(20 * time.Millisecond)
+	}
+	d := &routes.Document{InFlight: 8,
+		Routes:  []routes.Route{{Name: "calm", Types: []string{"session"}, Tenant: "calm", Retries: -1}, {Name: "flood", Tenant: "flood", Retries: -1}},
+		Tenants: []routes.Tenant{{Name: "calm", Weight: 1}, {Name: "flood", Weight: 1}}}
+	address, _, _ := embeddedWith(t, func(c *gateway.Config) {
+		c.Log, c.Change = slog.New(slog.DiscardHandler), &gateway.Change{Document: d}
+	}, members...)
+	front := standin.NewFront(address)
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	var refused, served atomic.Int64
+	for i := range 40 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c := front.NewClient(fmt.Sprintf("%08x", 0xf00+i), standin.Classes{Read: "any", Write: "keyed"})
+			defer c.Close()
+			for {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				if a := c.Read(0); a.Code == "53300" {
+					refused.Add(1)
+					time.Sleep(5 * time.Millisecond)
+				} else if a.Code == "" && a.Err == nil {
+					served.Add(1)
+				}
+			}
+		}()
+	}
+	until(func() bool { return refused.Load() > 0 && served.Load() > 20 })
+	c := front.NewClient("f999", classes)
+	defer c.Close()
+	ok := 0
+	for range 50 {
+		if a := c.Read(0); a.Code == "" && a.Err == nil {
+			ok++
+		}
+	}
+	close(done)
+	wg.Wait()
+	if ok < 49 { // the first may come before anything has ended
+		t.Fatalf("%d of 50 of the calm tenant are served beside %d of the flood, %d refused", ok, served.Load(), refused.Load())
+	}
+}
--- a/gateway/ledger_test.go
+++ b/gateway/ledger_test.go
@@ -86,11 +86,16 @@
 
 // embedded runs a gateway in this process.
 func embedded(t *testing.T, log *slog.Logger, plan *gateway.SessionPlan, members ...*standin.Member) (address string) {
+	address, _, _ = embeddedWith(t, func(c *gateway.Config) { c.Sessions, c.Log = plan, log }, members...)
+	return address
+}
+
+func embeddedWith(t testing.TB, change func(*gateway.Config), members ...*standin.Member) (address string, g *gateway.Gateway, list *standin.List) {
 	var hosts []standin.Host
 	for _, m := range members {
 		hosts = append(hosts, m.Host("active"))
 	}
-	list := standin.NewList(hosts...)
+	list = standin.NewList(hosts...)
 	t.Cleanup(list.Close)
 	var c gateway.Config
 	text, err := json.Marshal(map[string]any{"name": "e", "listen": freePort("tcp4", "127.0.0.4"), "discovery": list.Address(),
@@ -98,8 +103,8 @@
 		"settings": json.RawMessage(settings)})
 	must(err)
 	must(json.Unmarshal(text, &c))
-	c.Sessions, c.Log = plan, log
-	g, err := gateway.New(c)
+	change(&c)
+	g, err = gateway.New(c)
 	must(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -108,7 +113,7 @@
 		cancel()
 		<-ended
 	})
-	return c.Listen.String()
+	return c.Listen.String(), g, list
 }
 
 func complete(t *testing.T, folder string) bool {
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -110,6 +110,7 @@
 	inHeard
 	inWithdrawn
 	inRepeated
+	inRefused
 	inList
 	inListFailed
 )
@@ -127,6 +128,7 @@
 			g.inputs[i] = input{}
 		}
 		g.inputs = g.inputs[:0]
+		g.generations.carryOut()
 		if g.sessions != nil {
 			g.sessions.module.Clock(int64(g.clock.now()))
 			g.sessions.carryOut()
@@ -161,6 +163,10 @@
 		g.module.Heard(in.server)
 	case inWithdrawn:
 		g.tellWithdrawn(in.ref)
+	case inRefused:
+		if t := g.txns.Get(in.ref); t != nil {
+			g.decline(t.id, in.elapsed)
+		}
 	case inRepeated:
 		if t := g.txns.Get(in.ref); t != nil {
 			g.rollBack(t.id)
@@ -327,6 +333,7 @@
 		if g.sessions != nil {
 			g.sessions.start()
 		}
+		g.generations.start(g.config.Change)
 		g.turn()
 		return nil, gnet.Close
 	case ownerMember:
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -328,6 +328,10 @@
 // toIdle puts a connection that is ready for a query back into the pool.
 func (ms *members) toIdle(ref slots.Ref) {
 	m := ms.conns.Get(ref)
+	if ms.g.discovery.leave[m.server] { // nothing more goes there: it is given back with its last answer
+		ms.release(ref)
+		return
+	}
 	m.phase, m.since = idle, ms.g.clock.now()
 	p := ms.poolOf(m.server)
 	p.idle = append(p.idle, ref)
--- a/gateway/sessions_test.go
+++ b/gateway/sessions_test.go
@@ -189,7 +189,7 @@
 	fmt.Println(c.Write(0, "d1", "1"), c.Read(0))
 	f.gateways[0].logged("list followed")
 	f.list.Set(p.Host("active"), near.Host("leaving"), far.Host("active"))
-	f.list.AwaitTold(1)
+	f.list.AwaitTold()
 	time.Sleep(250 * time.Millisecond) // the grace
 	from := len(g.Events())
 	fmt.Println(c.Write(0, "d2", "2"), c.Read(0))
--- a/gateway/txns.go
+++ b/gateway/txns.go
@@ -2,12 +2,14 @@
 
 import (
 	"hash/fnv"
+	"net"
 	"slices"
 	"strconv"
 
 	"magpieglade/decide"
 	"magpieglade/internal/pgwire"
 	"magpieglade/internal/slots"
+	"magpieglade/routes"
 )
 
 // txn is one request of a client. It is given back in settled, once it is answered or withdrawn and all its
@@ -21,6 +23,14 @@
 	out      int  // submissions that the module was not told the end of
 	subs     []slots.Ref
 
+	generation *generation // that it arrived under
+	route      routes.Answer
+	shares     *routes.Shares // that it counts against, nil for none
+	tenant     int32          // of those
+	counted    bool           // until it has ended
+	failed     bool           // its answer is an error
+	arrived    decide.Nanos
+
 	class        int
 	session, key uint64
 	writes       bool         // it changes what its session reads
@@ -46,62 +56,83 @@
 	if class < 0 {
 		return "c names no known txn type"
 	}
-	if g.names.Classes[class].Effect == "by_key" && comment.Key == nil {
-		return "the comment lacks k, which this txn type needs"
-	}
 	if !g.discovery.list.groups[comment.Group] { // the module keeps what it knows of each group that it is told of
 		return "cluster is none of the list's"
 	}
 	if _, open := g.byID[comment.ID]; open {
 		return "id belongs to an open txn"
 	}
-	now := g.clock.now()
+	t := txn{id: comment.ID, client: ref, size: size, comment: comment, arrived: g.clock.now()}
+	why, after := g.generations.arrive(&t, g.routed(c, class, text))
+	t.class = int(t.route.Type)
+	kind := &g.names.Classes[t.class]
+	if kind.Effect == "by_key" && comment.Key == nil {
+		return "the comment lacks k, which this txn type needs"
+	}
 	// The client's time runs while its query waits behind another.
 	budget := decide.Millis(comment.Budget)
 	if c.aheadAt > 0 {
-		budget = max(1, budget-(now-c.aheadAt))
+		budget = max(1, budget-(t.arrived-c.aheadAt))
 	}
-	var session uint64
-	need := g.names.FamilyInfo.Consistency[class]
-	if need == "causal" || need == "mutate" {
-		session = sessionOf(comment.Session)
+	if t.route.Route >= 0 {
+		if most := t.generation.table.Routes[t.route.Route].Expiry; most > 0 {
+			budget = min(budget, decide.Nanos(most))
+		}
 	}
-	var age decide.Nanos
-	if need == "causal" && comment.After > 0 {
-		age = max(1, now-g.clock.at(comment.After))
+	need := g.names.FamilyInfo.Consistency[t.class]
+	t.writes = need == "mutate"
+	if need == "causal" || t.writes {
+		t.session = sessionOf(comment.Session)
 	}
-	t := txn{id: comment.ID, client: ref, size: size, comment: comment, class: class, session: session,
-		writes: need == "mutate"}
 	if comment.Key != nil {
 		t.key = keyOf(comment.Key)
 	}
 	repeats := true
-	if g.sessions != nil && g.names.Classes[class].Effect == "by_key" {
-		budget, repeats = g.sessions.repeat(&t, decide.Millis(g.names.Classes[class].Window), budget)
+	if g.sessions != nil && kind.Effect == "by_key" {
+		budget, repeats = g.sessions.repeat(&t, decide.Millis(kind.Window), budget)
 	}
 	c.txn = g.txns.Add(t)
 	g.byID[comment.ID] = c.txn
-	if held := g.txns.Get(c.txn); !repeats { // its group would not drop it as a repeat any more
+	g.counts.taken++
+	held := g.txns.Get(c.txn)
+	defer g.forgetBuffer(held)
+	switch {
+	case why != routes.Free:
+		g.inputs = append(g.inputs, input{kind: inRefused, ref: c.txn, elapsed: decide.Nanos(after)})
+		return ""
+	case !repeats: // its group would not drop it as a repeat any more
 		g.inputs = append(g.inputs, input{kind: inRepeated, ref: c.txn})
-		g.forgetBuffer(held)
-		g.counts.taken++
 		return ""
-	} else if g.sessions != nil && need == "causal" {
+	}
+	g.generations.begin(held)
+	if g.sessions != nil && need == "causal" {
 		g.sessions.read(held, budget)
-		g.forgetBuffer(held)
-		g.counts.taken++
 		return ""
-	} else {
-		g.forgetBuffer(held)
 	}
-	if err := g.module.Arrived(comment.ID, class, 0, session, budget, 0, comment.Group, age); err != nil {
+	var age decide.Nanos
+	if need == "causal" && comment.After > 0 {
+		age = max(1, t.arrived-g.clock.at(comment.After))
+	}
+	if err := g.module.Arrived(t.id, t.class, 0, t.session, budget, 0, comment.Group, age); err != nil {
 		g.settled(c.txn, true)
 		return err.Error()
 	}
-	g.counts.taken++
 	return ""
 }
 
+// routed is what a route is chosen by, read only where there are routes.
+func (g *Gateway) routed(c *client, class int, text []byte) *routes.Txn {
+	x := &g.lookup
+	*x = routes.Txn{Type: class}
+	if g.generations.inForce.table != nil {
+		x.User, x.Database, x.Table = c.user, c.database, string(pgwire.Table(text))
+		if a, ok := c.conn.RemoteAddr().(*net.TCPAddr); ok {
+			x.Client = a.AddrPort().Addr()
+		}
+	}
+	return x
+}
+
 // forgetBuffer drops what is part of a buffer that moves on.
 func (g *Gateway) forgetBuffer(t *txn) {
 	t.comment.Class, t.comment.Key, t.comment.Session, t.comment.Token = nil, nil, nil, nil
@@ -126,6 +157,7 @@
 	t.answered = t.answered || answered
 	if t.answered && t.out == 0 && !t.early {
 		delete(g.byID, t.id)
+		g.generations.end(t)
 		g.txns.Free(ref)
 	}
 }
@@ -137,6 +169,7 @@
 		return
 	}
 	t.answered = true
+	g.generations.served(t, !t.failed)
 	who, size := t.client, t.size
 	c := g.clients.open.Get(who)
 	c.txn = slots.Ref{}
@@ -183,6 +216,9 @@
 
 func (g *Gateway) fail(id uint64, code, message, detail string) {
 	ref := g.byID[id]
+	if t := g.txns.Get(ref); t != nil {
+		t.failed = true
+	}
 	out := pgwire.AppendError(g.scratch[:0], "ERROR", code, message, detail)
 	out = pgwire.AppendReady(out)
 	g.scratch = out[:0]
@@ -214,6 +250,12 @@
 	}
 	no := len(t.subs)
 	t.out++
+	if !t.answered && !g.generations.mayRepeat(t, no) { // nothing of a repeatable txn is lost by coming again
+		g.decline(id, 0)
+		if t = g.txns.Get(ref); t == nil {
+			return
+		}
+	}
 	if t.answered {
 		t.subs = append(t.subs, slots.Ref{})
 		g.inputs = append(g.inputs, input{kind: inEnded, ref: ref, no: no, server: server, result: decide.Moot})
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -88,23 +88,42 @@
 	if err != nil {
 		return err
 	}
-	go reload(g, again)
+	go s.reload(ctx, g, again)
 	return g.Run(ctx)
 }
 
-// reload reads the configuration anew at each signal.
-func reload(g *gateway.Gateway, signals <-chan os.Signal) {
+// reload reads both files anew at each signal.
+func (s *serve) reload(ctx context.Context, g *gateway.Gateway, signals <-chan os.Signal) {
 	for range signals {
 		c, err := gateway.FromFile()
 		if err == nil {
 			err = g.Reload(c)
 		}
+		if err == nil && s.Operator != "" {
+			err = s.apply(ctx, g)
+		}
 		if err != nil {
 			slog.Error("not reloaded, the former configuration stays", "why", err)
 		}
 	}
 }
 
+// apply proposes what of the operator's file can be changed; the rest of it needs a restart.
+func (s *serve) apply(ctx context.Context, g *gateway.Gateway) error {
+	f, err := operator.Read(s.Operator)
+	if err != nil {
+		return err
+	}
+	no, findings, err := g.Apply(ctx, gateway.Change{Document: f.Document, Digest: f.Digest, Watch: int64(f.Watch)})
+	for _, x := range findings {
+		slog.Warn("operator's file", "finding", x.Error())
+	}
+	if err == nil {
+		slog.Info("change staged", "generation", no, "watch", f.Watch)
+	}
+	return err
+}
+
 type check struct {
 	File string `arg:"" type:"existingfile" help:"The operator's file."`
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -15,9 +15,9 @@
 
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/gohcl"
-	"github.com/hashicorp/hcl/v2/hclsyntax"
 
 	"magpieglade/gateway"
+	"magpieglade/routes"
 	"magpieglade/session"
 )
 
@@ -25,12 +25,18 @@
 type File struct {
 	ClockError time.Duration
 	Sessions   *gateway.SessionPlan // nil where it has no such block
+	Document   *routes.Document     // what can be changed while a gateway runs; nil where it says nothing of that
+	Watch      time.Duration        // for how long a change of that is undone if health worsens
+	Digest     uint64               // the same for the same text
 }
 
 // Apply puts it into a gateway's configuration.
 func (f *File) Apply(c *gateway.Config) {
 	c.ClockError = f.ClockError
 	c.Sessions = f.Sessions
+	if f.Document != nil {
+		c.Change = &gateway.Change{Document: f.Document, Digest: f.Digest}
+	}
 }
 
 // Read reads a file.
@@ -44,21 +50,24 @@
 
 // Parse reads the text of a file; paths in it count from the file's folder.
 func Parse(text []byte, path string) (*File, error) {
-	parsed, diags := hclsyntax.ParseConfig(text, path, hcl.InitialPos)
-	if diags.HasErrors() {
-		return nil, problems(diags)
+	body, err := parseBody(text, path)
+	if err != nil {
+		return nil, err
 	}
 	r := &reader{folder: filepath.Dir(path)}
-	f := new(File)
-	top := r.block(parsed.Body, []string{"clock_error"}, "sessions")
+	f := &File{Watch: 30 * time.Second, Digest: digest(text)}
+	top := r.block(body, []string{"clock_error", "watch", "in_flight", "exclude", "drain"}, "sessions", "tenant", "route")
 	top.duration("clock_error", (*int64)(&f.ClockError), 0)
-	for i, b := range top.blocks {
-		if i > 0 {
+	top.duration("watch", (*int64)(&f.Watch), 0)
+	for _, b := range top.blocks {
+		switch {
+		case b.Type == "sessions" && f.Sessions != nil:
 			r.wrong(b.DefRange, "a second block of sessions", "There may be one.")
-			continue
+		case b.Type == "sessions":
+			f.Sessions = r.sessions(b)
 		}
-		f.Sessions = r.sessions(b)
 	}
+	f.Document = r.document(top)
 	if r.diags.HasErrors() {
 		return nil, problems(r.diags)
 	}
--- a/internal/operator/reader.go
+++ b/internal/operator/reader.go
@@ -27,7 +27,7 @@
 	r.diags = append(r.diags, &hcl.Diagnostic{Severity: hcl.DiagError, Summary: summary, Detail: detail, Subject: &at})
 }
 
-// block takes a body of these attributes and blocks; a block key has a label.
+// block takes a body of these attributes and blocks; blocks key, tenant and route have a label.
 func (r *reader) block(body hcl.Body, attrs []string, blocks ...string) *content {
 	var schema hcl.BodySchema
 	for _, name := range attrs {
@@ -35,8 +35,11 @@
 	}
 	for _, name := range blocks {
 		b := hcl.BlockHeaderSchema{Type: name}
-		if name == "key" {
+		switch name {
+		case "key":
 			b.LabelNames = []string{"number"}
+		case "tenant", "route":
+			b.LabelNames = []string{"name"}
 		}
 		schema.Blocks = append(schema.Blocks, b)
 	}
--- a/internal/pgwire/comment.go
+++ b/internal/pgwire/comment.go
@@ -106,6 +106,32 @@
 	return nil
 }
 
+// Table is the table that a statement names first, behind FROM, INTO or UPDATE; nil where there is none. Quotes and a
+// schema before it are left out.
+func Table(text []byte) []byte {
+	if _, behind, ok := bytes.Cut(text, shut); ok && bytes.HasPrefix(text, open) {
+		text = behind
+	}
+	for rest := text; ; {
+		i := bytes.IndexAny(rest, " \t\n\r")
+		if i < 0 {
+			return nil
+		}
+		word := rest[:i]
+		rest = bytes.TrimLeft(rest[i:], " \t\n\r")
+		if !bytes.EqualFold(word, []byte("FROM")) && !bytes.EqualFold(word, []byte("INTO")) && !bytes.EqualFold(word, []byte("UPDATE")) {
+			continue
+		}
+		if end := bytes.IndexAny(rest, " \t\n\r(;,"); end >= 0 {
+			rest = rest[:end]
+		}
+		if dot := bytes.LastIndexByte(rest, '.'); dot >= 0 {
+			rest = rest[dot+1:]
+		}
+		return bytes.Trim(rest, "\"")
+	}
+}
+
 // Raise gives a statement whose comment says that the read must see another position, in Unix milliseconds, and this
 // Budget; it is appended to dst.
 func (c *Comment) Raise(dst, text []byte, budget int64, after float64) []byte {
--- a/internal/pgwire/messages.go
+++ b/internal/pgwire/messages.go
@@ -73,6 +73,34 @@
 	return kind, size, nil
 }
 
+// mostName is the longest name of a user or a database that is kept, as PostgreSQL's own.
+const mostName = 63
+
+// StartupNames are the user and the database that a whole startup message names; the database is the user's where
+// it names none. Longer names than PostgreSQL's are cut, as its own server does.
+func StartupNames(message []byte) (user, database string) {
+	rest := message[8:]
+	for len(rest) > 1 {
+		name, behind, ok := bytes.Cut(rest, []byte{0})
+		value, behind2, ok2 := bytes.Cut(behind, []byte{0})
+		if !ok || !ok2 || len(name) == 0 {
+			break
+		}
+		kept := string(value[:min(len(value), mostName)])
+		switch string(name) {
+		case "user":
+			user = kept
+		case "database":
+			database = kept
+		}
+		rest = behind2
+	}
+	if database == "" {
+		database = user
+	}
+	return user, database
+}
+
 // Size is the size of a message by its head, never under that of the head.
 func Size(head []byte) int { return 1 + max(HeadSize-1, int(be.Uint32(head[1:]))) }
 
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -60,6 +60,23 @@
 	// 1.7672256009995e+12 77 <nil>
 }
 
+func ExampleTable() {
+	for _, text := range []string{statement, "/* from x */ INSERT INTO \"Crm\".\"Facts\"(a) VALUES (1)", "update t set a = 1", "SELECT 1", "SELECT a FROM"} {
+		fmt.Printf("%q\n", Table([]byte(text)))
+	}
+	fmt.Println(StartupNames(AppendStartup(nil, "portal", "crm")))
+	fmt.Println(StartupNames([]byte("\x00\x00\x00\x10\x00\x03\x00\x00user\x00me\x00\x00")))
+	fmt.Println(StartupNames([]byte("\x00\x00\x00\x0d\x00\x03\x00\x00user\x00")))
+	// Output:
+	// "facts"
+	// "Facts"
+	// "t"
+	// ""
+	// ""
+	// portal crm
+	// me me
+}
+
 // What a client or a member sends byte by byte is read as in one piece, and bad lengths and types are told
 // at once: nothing is waited for that cannot come.
 func ExampleMessage() {
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -10,7 +10,7 @@
 // each route. Before a change its mean and spread are followed; after it each slot's shortfall, in spreads, is
 // added up as a CUSUM does (Page 1954): drops that noise explains drain away, a lasting one adds up, and a deep
 // one is told within a slot or two. Slots that were disturbed from outside are left out, and so are those in which
-// much more was asked for than before: no change brings that about.
+// much more was asked for than before, while no less is served.
 const (
 	slot      = int64(500e6) // long against a txn, short against the time to undo
 	slack     = 0.75         // spreads that a slot may fall short of the mean without counting
@@ -22,6 +22,7 @@
 	leastSd   = 0.005        // of a series that never varies
 	mostSlack = 6.0          // a slot counts for no more than this many spreads: one alone proves nothing
 	jump      = 1.5          // times as much asked for as before is a jump
+	holds     = 0.8          // part of what was served before that is as much
 	aftermath = 2            // slots after a disturbance that are left out with it
 )
 
@@ -109,7 +110,9 @@
 		}
 		return
 	}
-	if j.watching && j.all.slots >= fewSlots && j.all.asked > jump*j.all.demand {
+	// Clients that fail at once ask more often: a jump counts as one from outside only while as much is served as before.
+	usual := j.all.demand
+	if j.watching && j.all.slots >= fewSlots && j.all.asked > jump*usual && j.all.got >= holds*j.all.mean*usual {
 		j.all.drop()
 		for _, id := range j.order {
 			j.routes[id].drop()
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -93,12 +93,12 @@
 	d.run(20, 0.5)
 	fmt.Println(d.inForce, d.kept, d.propose(2))
 	// Output:
-	// generation 1: applied, watched for 30000 ms, health 0.946, spread 0.018
+	// generation 1: applied, watched for 30000 ms, health 0.946, spread 0.020
 	// <nil>
 	// generation 1: kept, its watch is over, health 0.947 after, 0.946 before
-	// generation 2: applied, watched for 30000 ms, health 0.946, spread 0.018
+	// generation 2: applied, watched for 30000 ms, health 0.946, spread 0.020
 	// <nil>
-	// generation 2: undone after 1000 ms, health worsened; 1 is in force again: all served 0.803 of its worth, 0.946 before, spread 0.018
+	// generation 2: undone after 1500 ms, health worsened; 1 is in force again: all served 0.803 of its worth, 0.946 before, spread 0.020
 	// 1 1 generation 2 is not applied: it was undone before; apply it with --again
 }
 
@@ -185,6 +185,19 @@
 	// always 0 generation 1: undone after 90000 ms, its watch went by without a quiet moment to judge it by; 0 is in force again
 }
 
+// A change whose txns fail at once is asked for more often: that is no jump of traffic from outside.
+func Example_retryStorm() {
+	d := newDay(3)
+	d.run(40, 0)
+	_ = d.propose(1)
+	d.rate *= 5
+	d.health = 0.05
+	d.run(10, 0)
+	fmt.Println(d.inForce, d.said[len(d.said)-1])
+	// Output:
+	// 0 generation 1: undone after 1500 ms, health worsened; 0 is in force again: all served 0.046 of its worth, 0.951 before, spread 0.016
+}
+
 // Noise alone hardly ever undoes: at most 2 in 200 runs, with noise that lasts from slot to slot; a real drop is
 // undone, the sooner the deeper.
 func TestFalseUndosAndTimeToUndo(t *testing.T) {
--- a/standin/group.go
+++ b/standin/group.go
@@ -55,7 +55,8 @@
 	Code     string
 	Key      string
 	Value    string
-	Position int64 // of the commit, or up to which the server had applied all when it read
+	Limit    time.Duration // that the statement gives it
+	Position int64         // of the commit, or up to which the server had applied all when it read
 }
 
 // NewGroup makes a group without members.
@@ -118,7 +119,7 @@
 }
 
 // read gives the latest value of a code that a member has applied.
-func (g *Group) read(m *Member, id, code string) (value []byte, position int64) {
+func (g *Group) read(m *Member, id, code string, limit time.Duration) (value []byte, position int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	position = g.position(m)
@@ -128,7 +129,7 @@
 			break
 		}
 	}
-	g.note(Event{Member: m.Name, Kind: "read", ID: id, Code: code, Value: string(value), Position: position})
+	g.note(Event{Member: m.Name, Kind: "read", ID: id, Code: code, Value: string(value), Limit: limit, Position: position})
 	return value, position
 }
 
--- a/standin/list.go
+++ b/standin/list.go
@@ -31,7 +31,8 @@
 	hosts   []Host
 	down    bool
 	changed chan struct{}
-	told    chan struct{} // one for each answer that was given
+	toldSeq int           // the latest that was given
+	told    chan struct{} // closed with the next
 }
 
 // NewList starts a list service.
@@ -40,7 +41,7 @@
 	if err != nil {
 		panic(err)
 	}
-	s := &List{l: l, seq: 1, hosts: hosts, changed: make(chan struct{}), told: make(chan struct{}, 1000)}
+	s := &List{l: l, seq: 1, hosts: hosts, changed: make(chan struct{}), told: make(chan struct{})}
 	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(l) }()
 	return s
@@ -85,14 +86,17 @@
 	return map[string]any{"seq": s.seq, "whole": true, "hosts": s.hosts}
 }
 
-// AwaitTold waits until a gateway has been given so many answers from now on.
-func (s *List) AwaitTold(n int) {
-	for len(s.told) > 0 {
-		<-s.told
-	}
-	for range n {
+// AwaitTold waits until a gateway has been given the list that is in force.
+func (s *List) AwaitTold() {
+	for {
+		s.mu.Lock()
+		told, more := s.toldSeq >= s.seq, s.told
+		s.mu.Unlock()
+		if told {
+			return
+		}
 		select {
-		case <-s.told:
+		case <-more:
 		case <-time.After(soon):
 			panic("the list was not asked for")
 		}
@@ -119,8 +123,7 @@
 		return
 	}
 	_ = json.NewEncoder(w).Encode(s.whole())
-	select {
-	case s.told <- struct{}{}:
-	default:
-	}
+	s.toldSeq = s.seq
+	close(s.told)
+	s.told = make(chan struct{})
 }
--- a/standin/member.go
+++ b/standin/member.go
@@ -35,6 +35,7 @@
 
 	utilization atomic.Int64 // in thousandths
 	queries     atomic.Int64
+	busy        atomic.Int64
 }
 
 // NewMember starts a server at an address of its own.
@@ -62,6 +63,16 @@
 // Queries counts the queries that it got, probes too.
 func (m *Member) Queries() int { return int(m.queries.Load()) }
 
+// Busy is how many queries are under way.
+func (m *Member) Busy() int { return int(m.busy.Load()) }
+
+// Connections is how many are open.
+func (m *Member) Connections() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.conns)
+}
+
 func (m *Member) serve(l net.Listener) {
 	m.mu.Lock()
 	m.l = l
@@ -211,6 +222,8 @@
 // answer answers one query; false ends the connection.
 func (m *Member) answer(b *pgproto3.Backend, sql string) bool {
 	m.queries.Add(1)
+	m.busy.Add(1)
+	defer m.busy.Add(-1)
 	m.mu.Lock()
 	hung, drain, delay := m.hung, m.drain, m.delay
 	m.mu.Unlock()
@@ -268,7 +281,8 @@
 		m.tell(b, 0)
 		return m.problem(b, "72000", "too far behind")
 	}
-	value, position := m.group.read(m, names["id"], code)
+	ms, _ := strconv.Atoi(names["d"])
+	value, position := m.group.read(m, names["id"], code, time.Duration(ms)*time.Millisecond)
 	if m.swallows(names["c"]) {
 		return false
 	}
