Changes outlive the process; a control socket and its commands; docs/configuration.md

Need: an operator talks to a running gateway, and one that is killed under a change starts with the last kept one.

gateway/kept.go replaces one checksummed file as a whole before a watched change is applied; internal/control serves four connections on a Unix socket with owner-only rights; config apply, status, history, keep, undo.

Loopback: killed while watching, damaged file, twelve kills within a stream of changes.

--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -36,3 +36,32 @@
   #   at_most       = "20ms" # but no answer waits longer
   # }
 }
+
+# What follows can be changed while a gateway runs: docs/configuration.md.
+
+# control = "/run/magpieglade/control"  # magpieglade config apply|status|history|keep|undo --control ...
+# changes = "/var/lib/magpieglade/changes" # where changes outlive the process
+# watch   = "30s" # a change is undone by itself within this, if health worsens
+
+# in_flight = 500 # txns of all tenants at the most
+# exclude   = ["s-5be2a07c"] # these members get nothing new; drain is the same by another name
+
+# tenant "portal" {
+#   weight    = 2    # of its share of in_flight
+#   in_flight = 400  # its own share and what it borrows
+#   bytes     = 1000000
+#   rate      = 200  # txns a second
+#   burst     = 20
+# }
+
+# route "reports" { # the first that matches counts
+#   types     = ["my-report"] # conditions; those that are not written hold for all
+#   users     = ["portal"]
+#   databases = ["crm"]
+#   tables    = ["facts"]
+#   networks  = ["10.0.0.0/8"]
+#   type      = "my-report" # the txn type that it runs as
+#   tenant    = "portal"
+#   expiry    = "2s"
+#   retries   = 0.1 # repeated submissions as a share of first ones
+# }
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -29,7 +29,8 @@
 	// What the operator's own file says, see deploy/; the platform does not know it.
 	Log        *slog.Logger  `json:"-"` // nil is the default
 	Sessions   *SessionPlan  `json:"-"`
-	Change     *Change       `json:"-"` // applied at the start, and kept at once
+	Change     *Change       `json:"-"` // applied at the start, and kept at once unless another was kept before
+	Changes    *ChangeFolder `json:"-"` // nil where changes do not outlive the process
 	ClockError time.Duration `json:"-"` // how far the clocks of machines may differ; positions up to this far ahead are believed
 }
 
--- /dev/null
+++ b/gateway/control_test.go
@@ -0,0 +1,119 @@
+package gateway_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+)
+
+// command runs one of the program's own and gives what it says.
+func command(args ...string) string {
+	out, err := exec.Command(program, args...).CombinedOutput()
+	text := strings.TrimSpace(string(out))
+	if err != nil {
+		text += " (" + err.Error() + ")"
+	}
+	return text
+}
+
+// An operator changes a running gateway by the command line. It is killed while a change is watched: the last kept one
+// is in force after the restart, and the change is not applied again unless it is asked for.
+func Example_control() {
+	_, members := group(0, 1)
+	f := newFleet(1, "control = \"%DIR%.sock\"\nchanges = \"%DIR%\"\n", members...)
+	defer f.stop()
+	p := f.gateways[0]
+	socket := filepath.Join(f.dir, "ledger0.sock")
+	file := func(name, text string) string {
+		path := filepath.Join(f.dir, name)
+		must(os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	good := file("good.hcl", "route \"all\" {\n  expiry = \"700ms\"\n}\n")
+	next := file("next.hcl", "route \"all\" {\n  expiry = \"600ms\"\n}\n")
+	bad := file("bad.hcl", "route \"r\" {\n  types = [\"none\"]\n}\n")
+	say := func(args ...string) {
+		said := command(append(append([]string{"config"}, args...), "--control", socket)...)
+		for _, line := range strings.Split(strings.ReplaceAll(said, f.dir+"/", ""), "\n") {
+			fmt.Println(strings.TrimSpace(line))
+		}
+	}
+	settled := func(part string) {
+		until(func() bool { return strings.Contains(command("config", "status", "--control", socket), part) })
+	}
+	info, err := os.Stat(socket)
+	fmt.Println(info.Mode().Perm(), err)
+	say("status")
+	say("apply", bad)
+	say("apply", good, "--watch", "0s", "--wait")
+	say("apply", next, "--watch", "1h")
+	settled("watched: generation 2 in force, 1 kept")
+	p.kill()
+	p.start()
+	p.logged("generation=1 crashes=0")
+	settled("settled: generation 1 in force, 1 kept")
+	say("apply", next)
+	say("apply", next, "--again", "--watch", "1h")
+	settled("watched: generation 3 in force, 1 kept")
+	say("undo")
+	settled("settled: generation 1 in force, 1 kept")
+	say("undo")
+	say("apply", next, "--again", "--watch", "1h")
+	settled("watched: generation 4")
+	say("keep")
+	settled("settled: generation 4 in force, 4 kept")
+	say("history")
+	p.kill()
+	must(os.WriteFile(filepath.Join(f.dir, "ledger0", "kept.json"), []byte("00000000\n{}"), 0o600))
+	p.start()
+	p.logged("kept changes are not read")
+	settled("settled: generation 0 in force, 0 kept")
+	// Output:
+	// -rw------- <nil>
+	// settled: generation 0 in force, 0 kept; health not known yet
+	// bad.hcl:1:1: route "r": unknown txn type "none": The platform's settings name the txn types.
+	// magpieglade: the change is refused, the former configuration stays (exit status 1)
+	// generation 1 staged
+	// generation 1 kept: by hand
+	// generation 2 staged
+	// magpieglade: generation 3 is not applied: it was undone before; apply it with --again (exit status 1)
+	// generation 3 staged
+	//
+	// magpieglade: no change is watched or staged (exit status 1)
+	// generation 4 staged
+	//
+	// generation  kept   why                                     figures
+	// 2           false  the gateway ended while it was watched
+	// 3           false  by hand
+	// 4           true   by hand                                 nothing judged, health not known yet
+}
+
+// A gateway is killed at any moment of a stream of changes: it always starts, with a change that was kept.
+func Example_killedWhileChanging() {
+	_, members := group(0, 1)
+	f := newFleet(1, "control = \"%DIR%.sock\"\nchanges = \"%DIR%\"\n", members...)
+	defer f.stop()
+	p := f.gateways[0]
+	socket := filepath.Join(f.dir, "ledger0.sock")
+	for i := range 12 {
+		path := filepath.Join(f.dir, "change.hcl")
+		must(os.WriteFile(path, fmt.Appendf(nil, "route \"all\" {\n  expiry = \"%dms\"\n}\n", 500+i), 0o600))
+		done := make(chan string, 1)
+		go func() { done <- command("config", "apply", path, "--watch", "0s", "--control", socket) }()
+		time.Sleep(time.Duration(i) * time.Millisecond) // whenever that is
+		p.kill()
+		<-done
+		p.start()
+		line := p.logged("kept changes are read")
+		if strings.Contains(line, "crashes=1") {
+			fmt.Println(line)
+		}
+	}
+	c := f.front.NewClient("dc01", classes)
+	fmt.Println(c.Write(0, "z1", "1"))
+	// Output:
+	// served 1
+}
--- a/gateway/generations.go
+++ b/gateway/generations.go
@@ -18,6 +18,7 @@
 	module  *rollout.Rollout
 	next    rollout.Generation
 	inForce *generation
+	saving  bool                               // the module's decisions wait until what it said is on the disk
 	all     map[rollout.Generation]*generation // in force, kept, staged, or with txns under way
 }
 
@@ -25,6 +26,8 @@
 type generation struct {
 	no       rollout.Generation
 	document *routes.Document
+	text     []byte
+	digest   uint64
 	table    *routes.Table // nil for generation 0: all is as the platform says
 	shares   *routes.Shares
 	retries  *routes.Retries
@@ -40,11 +43,17 @@
 
 // start applies what the operator's file says at the start. What is wrong with it leaves all as the platform says.
 func (gs *generations) start(c *Change) {
-	if c == nil {
+	watch, before := int64(0), uint64(0)
+	if gs.g.config.Changes != nil {
+		if before = gs.recall(); before != 0 && c != nil {
+			watch = c.Watch // it is not the first: it is watched like any
+		}
+	}
+	if c == nil || before != 0 && c.Digest == before {
 		return
 	}
 	gs.module.Clock(int64(gs.g.clock.now()))
-	_, findings, err := gs.propose(Change{Document: c.Document, Digest: c.Digest})
+	_, findings, err := gs.propose(Change{Document: c.Document, Digest: c.Digest, Text: c.Text, Watch: watch})
 	for _, f := range findings {
 		gs.g.log.Warn("operator's file", "finding", f.Error())
 	}
@@ -57,6 +66,7 @@
 type Change struct {
 	Document *routes.Document // nil is all as the platform says
 	Digest   uint64           // the same for the same text
+	Text     []byte           // that says the same, for Config.Changes
 	Watch    int64            // nanoseconds in which it is undone if health worsens; 0 keeps it at once
 	Again    bool             // also if it was undone before
 }
@@ -128,15 +138,12 @@
 }
 
 func (gs *generations) propose(c Change) (rollout.Generation, []routes.Finding, error) {
-	x := &generation{document: c.Document, barred: map[string]bool{}}
+	x := &generation{document: c.Document, text: c.Text, digest: c.Digest, barred: barredBy(c.Document)}
 	var findings []routes.Finding
 	if c.Document != nil {
 		if x.table, findings = routes.Compile(c.Document, gs.world()); x.table == nil {
 			return 0, findings, fmt.Errorf("the change is refused, the former configuration stays")
 		}
-		for _, m := range slices.Concat(c.Document.Excluded, c.Document.Drained) {
-			x.barred[m.Name] = true
-		}
 	}
 	x.no = gs.next + 1
 	if err := gs.module.Propose(rollout.Change{Generation: x.no, Digest: c.Digest, Watch: c.Watch, Again: c.Again}); err != nil {
@@ -150,7 +157,7 @@
 // carryOut does what the module decides until there is nothing left.
 func (gs *generations) carryOut() {
 	gs.module.Clock(int64(gs.g.clock.now()))
-	for {
+	for !gs.saving {
 		d, ok := gs.module.Next()
 		if !ok {
 			return
@@ -158,6 +165,8 @@
 		switch d.Kind {
 		case rollout.Apply, rollout.Undo:
 			gs.enter(gs.all[d.Generation])
+		case rollout.Save:
+			gs.save()
 		case rollout.Keep:
 			gs.forget()
 		case rollout.Wake:
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -13,6 +13,7 @@
 	"github.com/alecthomas/kong"
 
 	"magpieglade/gateway"
+	"magpieglade/internal/control"
 	"magpieglade/internal/operator"
 )
 
@@ -25,10 +26,6 @@
 	Measure measure `cmd:"" help:"Play and measure parts of the program."`
 }
 
-type config struct {
-	Check check `cmd:"" help:"Say what is wrong with an operator's file; nothing and status 0 if it is good."`
-}
-
 // Run carries out a command line and gives the status to end with.
 func Run(args []string, out, problems io.Writer) int {
 	var c commands
@@ -77,9 +74,9 @@
 	if err != nil {
 		return err
 	}
+	var f *operator.File
 	if s.Operator != "" {
-		f, err := operator.Read(s.Operator)
-		if err != nil {
+		if f, err = operator.Read(s.Operator); err != nil {
 			return err
 		}
 		f.Apply(&c)
@@ -88,6 +85,11 @@
 	if err != nil {
 		return err
 	}
+	if s.Operator != "" && f.Control != "" {
+		if err := control.Serve(ctx, f.Control, g); err != nil {
+			return err
+		}
+	}
 	go s.reload(ctx, g, again)
 	return g.Run(ctx)
 }
@@ -114,7 +116,7 @@
 	if err != nil {
 		return err
 	}
-	no, findings, err := g.Apply(ctx, gateway.Change{Document: f.Document, Digest: f.Digest, Watch: int64(f.Watch)})
+	no, findings, err := g.Apply(ctx, gateway.Change{Document: f.Document, Digest: f.Digest, Text: f.Text, Watch: int64(f.Watch)})
 	for _, x := range findings {
 		slog.Warn("operator's file", "finding", x.Error())
 	}
@@ -123,13 +125,3 @@
 	}
 	return err
 }
-
-type check struct {
-	File string `arg:"" type:"existingfile" help:"The operator's file."`
-}
-
-// Run reads the file.
-func (c *check) Run() error {
-	_, err := operator.Read(c.File)
-	return err
-}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,167 @@
+// Package control lets an operator talk to a running gateway, over a Unix socket that only its owner may open.
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"magpieglade/gateway"
+	"magpieglade/internal/operator"
+	"magpieglade/rollout"
+)
+
+// Request asks for a change.
+type Request struct {
+	Text  string
+	Path  string // where the text came from, for messages
+	Watch int64  // nanoseconds; below 0 is what the text says
+	Again bool
+}
+
+// Reply tells what came of a request.
+type Reply struct {
+	Generation rollout.Generation `json:",omitempty"`
+	Findings   []string           `json:",omitempty"`
+	Problem    string             `json:",omitempty"`
+	Status     *rollout.Status    `json:",omitempty"`
+}
+
+const (
+	mostText    = 16 << 20
+	mostClients = 4 // at once; each holds a descriptor
+	patience    = 10 * time.Second
+)
+
+// Serve listens at a path until the context ends.
+func Serve(ctx context.Context, path string, g *gateway.Gateway) error {
+	if c, err := net.Dial("unix", path); err == nil {
+		_ = c.Close()
+		return fmt.Errorf("control: %s is in use", path)
+	}
+	_ = os.Remove(path) // left by one that was killed
+	l, err := net.Listen("unix", path)
+	if err != nil {
+		return fmt.Errorf("control: %w", err)
+	}
+	if err := os.Chmod(path, 0o600); err != nil {
+		_ = l.Close()
+		return fmt.Errorf("control: %w", err)
+	}
+	s := &http.Server{Handler: handler(g), ReadTimeout: patience, WriteTimeout: patience, IdleTimeout: time.Second}
+	context.AfterFunc(ctx, func() { _ = s.Close() })
+	go func() { _ = s.Serve(&few{Listener: l, free: make(chan struct{}, mostClients)}) }()
+	return nil
+}
+
+// few takes so many connections at once.
+type few struct {
+	net.Listener
+	free chan struct{}
+}
+
+// Accept waits for one that may come.
+func (f *few) Accept() (net.Conn, error) {
+	f.free <- struct{}{}
+	c, err := f.Listener.Accept()
+	if err != nil {
+		<-f.free
+		return nil, err
+	}
+	return &one{Conn: c, f: f}, nil
+}
+
+type one struct {
+	net.Conn
+	f    *few
+	done bool
+}
+
+// Close gives its place back.
+func (o *one) Close() error {
+	if !o.done {
+		o.done = true
+		<-o.f.free
+	}
+	return o.Conn.Close()
+}
+
+func handler(g *gateway.Gateway) http.Handler {
+	mux := http.NewServeMux()
+	answer := func(w http.ResponseWriter, r Reply, err error) {
+		if err != nil {
+			r.Problem = err.Error()
+		}
+		_ = json.NewEncoder(w).Encode(r)
+	}
+	mux.HandleFunc("POST /apply", func(w http.ResponseWriter, r *http.Request) {
+		var q Request
+		if err := json.NewDecoder(io.LimitReader(r.Body, mostText)).Decode(&q); err != nil {
+			answer(w, Reply{}, err)
+			return
+		}
+		f, err := operator.Parse([]byte(q.Text), q.Path)
+		if err != nil {
+			answer(w, Reply{}, err)
+			return
+		}
+		if q.Watch < 0 {
+			q.Watch = int64(f.Watch)
+		}
+		no, findings, err := g.Apply(r.Context(), gateway.Change{Document: f.Document, Digest: f.Digest, Text: []byte(q.Text), Watch: q.Watch, Again: q.Again})
+		reply := Reply{Generation: no}
+		for _, x := range findings {
+			reply.Findings = append(reply.Findings, x.Error())
+		}
+		answer(w, reply, err)
+	})
+	mux.HandleFunc("POST /keep", func(w http.ResponseWriter, r *http.Request) { answer(w, Reply{}, g.Keep(r.Context())) })
+	mux.HandleFunc("POST /undo", func(w http.ResponseWriter, r *http.Request) { answer(w, Reply{}, g.Undo(r.Context())) })
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) {
+		s, err := g.Status(r.Context())
+		answer(w, Reply{Status: &s}, err)
+	})
+	return mux
+}
+
+// Ask asks the gateway at a path. A reply with a problem is an error too.
+func Ask(ctx context.Context, path, method, what string, q *Request) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	c := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, "unix", path)
+	}}}
+	defer c.CloseIdleConnections()
+	var body io.Reader
+	if q != nil {
+		text, err := json.Marshal(q)
+		if err != nil {
+			return Reply{}, err
+		}
+		body = bytes.NewReader(text)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://gateway/"+what, body)
+	if err != nil {
+		return Reply{}, err
+	}
+	answer, err := c.Do(r)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer answer.Body.Close()
+	var reply Reply
+	if err := json.NewDecoder(io.LimitReader(answer.Body, mostText)).Decode(&reply); err != nil {
+		return reply, fmt.Errorf("the gateway's answer can't be read: %w", err)
+	}
+	if reply.Problem != "" {
+		return reply, errors.New(reply.Problem)
+	}
+	return reply, nil
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -28,6 +28,9 @@
 	Document   *routes.Document     // what can be changed while a gateway runs; nil where it says nothing of that
 	Watch      time.Duration        // for how long a change of that is undone if health worsens
 	Digest     uint64               // the same for the same text
+	Text       []byte
+	Control    string // the socket at which the gateway can be talked to; empty is none
+	Changes    string // the folder in which changes outlive the process; empty is none
 }
 
 // Apply puts it into a gateway's configuration.
@@ -35,7 +38,13 @@
 	c.ClockError = f.ClockError
 	c.Sessions = f.Sessions
 	if f.Document != nil {
-		c.Change = &gateway.Change{Document: f.Document, Digest: f.Digest}
+		c.Change = &gateway.Change{Document: f.Document, Digest: f.Digest, Text: f.Text, Watch: int64(f.Watch)}
+	}
+	if f.Changes != "" {
+		c.Changes = &gateway.ChangeFolder{Path: f.Changes, Parse: func(text []byte) (*routes.Document, error) {
+			d, _, err := Document(text, "kept change")
+			return d, err
+		}}
 	}
 }
 
@@ -55,10 +64,12 @@
 		return nil, err
 	}
 	r := &reader{folder: filepath.Dir(path)}
-	f := &File{Watch: 30 * time.Second, Digest: digest(text)}
-	top := r.block(body, []string{"clock_error", "watch", "in_flight", "exclude", "drain"}, "sessions", "tenant", "route")
+	f := &File{Watch: 30 * time.Second, Digest: digest(text), Text: text}
+	top := r.block(body, []string{"clock_error", "control", "changes", "watch", "in_flight", "exclude", "drain"}, "sessions", "tenant", "route")
 	top.duration("clock_error", (*int64)(&f.ClockError), 0)
 	top.duration("watch", (*int64)(&f.Watch), 0)
+	top.text("control", &f.Control)
+	top.text("changes", &f.Changes)
 	for _, b := range top.blocks {
 		switch {
 		case b.Type == "sessions" && f.Sessions != nil:
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -73,7 +73,7 @@
 		t.Fatal(err)
 	}
 	plain, err := Parse([]byte("sessions {}"), "x")
-	if err != nil || fmt.Sprintf("%+v", *f.Sessions) != fmt.Sprintf("%+v", *plain.Sessions) {
+	if err != nil || f.Document != nil || fmt.Sprintf("%+v", *f.Sessions) != fmt.Sprintf("%+v", *plain.Sessions) {
 		t.Fatalf("%+v %+v %v", f.Sessions, plain.Sessions, err)
 	}
 }
--- a/internal/operator/routes.go
+++ b/internal/operator/routes.go
@@ -44,7 +44,7 @@
 }
 
 func (r *reader) tenant(b *hcl.Block) routes.Tenant {
-	in := r.block(b.Body, []string{"weight", "in_flight", "bytes", "rate", "burst", "connections"})
+	in := r.block(b.Body, []string{"weight", "in_flight", "bytes", "rate", "burst"})
 	t := routes.Tenant{Name: b.Labels[0], At: place(b.DefRange), Weight: 1}
 	in.number("weight", &t.Weight, 0, 1e6)
 	in.whole("in_flight", &t.InFlight, 1, 1_000_000)
@@ -54,12 +54,11 @@
 	in.number("rate", &t.Rate, 0, 1e9)
 	t.Burst = max(1, t.Rate/10) // a tenth of a second's
 	in.number("burst", &t.Burst, 1, 1e9)
-	in.whole("connections", &t.Clients, 1, 1_000_000)
 	return t
 }
 
 func (r *reader) route(b *hcl.Block) routes.Route {
-	in := r.block(b.Body, []string{"types", "users", "databases", "tables", "networks", "type", "tenant", "groups", "expiry", "retries"})
+	in := r.block(b.Body, []string{"types", "users", "databases", "tables", "networks", "type", "tenant", "expiry", "retries"})
 	t := routes.Route{Name: b.Labels[0], At: place(b.DefRange), Retries: -1}
 	t.Types, t.Users, t.Databases, t.Tables = in.words("types"), in.words("users"), in.words("databases"), in.words("tables")
 	for _, text := range in.words("networks") {
@@ -72,9 +71,6 @@
 	}
 	in.text("type", &t.Type)
 	in.text("tenant", &t.Tenant)
-	if a := in.attrs["groups"]; a != nil {
-		r.decode(a, &t.Groups)
-	}
 	in.duration("expiry", &t.Expiry, 1e6)
 	in.number("retries", &t.Retries, 0, 10)
 	return t
--- /dev/null
+++ b/internal/operator/routes_test.go
@@ -0,0 +1,50 @@
+package operator
+
+import (
+	"fmt"
+	"time"
+)
+
+const routed = `
+in_flight = 100
+watch     = "10s"
+exclude   = ["m1"]
+tenant "portal" {
+  weight = 2
+  rate   = 50
+}
+route "reports" {
+  types    = ["session"]
+  users    = ["portal"]
+  networks = ["10.0.0.0/8"]
+  tenant   = "portal"
+  expiry   = "500ms"
+  retries  = 0.1
+}
+`
+
+// What can be changed while a gateway runs, and what is wrong with it.
+func Example_routes() {
+	f, err := Parse([]byte(routed), "r.hcl")
+	d := f.Document
+	fmt.Println(err, f.Watch == 10*time.Second, d.InFlight, d.Excluded, d.Tenants[0].Burst)
+	fmt.Println(d.Routes[0].At, d.Routes[0].Networks, d.Routes[0].Retries, d.Routes[0].Expiry == int64(500*time.Millisecond))
+	same, _ := Parse([]byte(routed), "other.hcl")
+	fmt.Println(same.Digest == f.Digest)
+	for _, text := range []string{"route {}", "route \"a\" \"b\" {}", "route \"a\" {\n  networks = [\"x\"]\n}", "route \"a\" {\n  retries = -1\n}",
+		"tenant \"t\" {\n  weight = \"much\"\n}", "in_flight = 0", "exclude = \"m\""} {
+		_, err := Parse([]byte(text), "r.hcl")
+		fmt.Println(err)
+	}
+	// Output:
+	// <nil> true 100 [{m1 r.hcl:4:13}] 5
+	// r.hcl:9:1 [10.0.0.0/8] 0.1 true
+	// true
+	// r.hcl:1:7: Missing name for route: All route blocks must have 1 labels (name).
+	// r.hcl:1:11: Extraneous label for route: Only 1 labels (name) are expected for route blocks.
+	// r.hcl:2:14: "x" is no IPv4 network: Write it as 10.0.0.0/8.
+	// r.hcl:2:13: retries is out of range: It is from 0 to 10.
+	// r.hcl:2:13: Unsuitable value type: Unsuitable value: a number is required
+	// r.hcl:1:13: in_flight is out of range: It is from 1 to 1000000.
+	// r.hcl:1:12: Unsuitable value type: Unsuitable value: list of string required, but have string
+}
