Status tells a change that waits to be saved as staged, not as in force

Cause, seen once in a test: a gateway that was killed between the module's decision and the file's replacement had told its change as watched; after the restart it was not known, so it was not refused. It had not been in force either: the status said what the module decided, not what the gateway does.

--- a/gateway/generations.go
+++ b/gateway/generations.go
@@ -96,6 +96,9 @@
 	err = g.inLoop(ctx, func() error {
 		s = g.generations.module.Status()
 		s.Finished = slices.Clone(s.Finished)
+		if now := g.generations.inForce.no; now != s.InForce { // it waits until it is saved
+			s.Stage, s.Staged, s.InForce = rollout.Staged, s.InForce, now
+		}
 		return nil
 	})
 	return s, err
