--- a/gateway/ledger_test.go
+++ b/gateway/ledger_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -118,11 +119,17 @@
 
 func complete(t *testing.T, folder string) bool {
 	t.Helper()
-	after := t.TempDir() + "/after"
-	must(os.CopyFS(after, os.DirFS(folder)))
-	f, err := ledger.Look(after)
-	must(err)
-	return f.Complete
+	for { // a former segment may go while it is copied
+		after := t.TempDir() + "/after"
+		if err := os.CopyFS(after, os.DirFS(folder)); errors.Is(err, os.ErrNotExist) {
+			continue
+		} else {
+			must(err)
+		}
+		f, err := ledger.Look(after)
+		must(err)
+		return f.Complete
+	}
 }
 
 // A disk that is slow delays an answer for the stated span and no longer; from then on the ledger says of itself that
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/crc32"
 	"io"
+	"io/fs"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -61,8 +62,20 @@
 
 func segmentName(n uint64) string { return fmt.Sprintf("segment-%016x", n) }
 
-// Read reads a folder and changes nothing.
-func Read(folder string, files Files, boot string) (*Recovered, error) {
+// Read reads a folder and changes nothing. Of one that a process has, segments may go while it reads: it begins anew
+// then.
+func Read(folder string, files Files, boot string) (r *Recovered, err error) {
+	for range readTries {
+		if r, err = readOnce(folder, files, boot); !errors.Is(err, fs.ErrNotExist) {
+			break
+		}
+	}
+	return r, err
+}
+
+const readTries = 10
+
+func readOnce(folder string, files Files, boot string) (*Recovered, error) {
 	if files == nil {
 		files = systemFiles{}
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -97,11 +97,16 @@
 // crash leaves a folder as the kernel would if the process were killed now: nothing is closed.
 func crash(t testing.TB, from string) string {
 	t.Helper()
-	to := filepath.Join(t.TempDir(), "after")
-	if err := os.CopyFS(to, os.DirFS(from)); err != nil {
-		t.Fatal(err)
+	for { // a former segment may go while it is copied
+		to := filepath.Join(t.TempDir(), "after")
+		err := os.CopyFS(to, os.DirFS(from))
+		if err == nil {
+			return to
+		}
+		if !errors.Is(err, os.ErrNotExist) {
+			t.Fatal(err)
+		}
 	}
-	return to
 }
 
 func TestKeepsOverACrashAndAnEnd(t *testing.T) {
@@ -320,6 +325,34 @@
 	}
 }
 
+// vanishing is a file system in which a segment goes between being listed and being opened.
+type vanishing struct {
+	systemFiles
+	left int
+}
+
+func (v *vanishing) Open(path string) (io.ReadCloser, error) {
+	if v.left > 0 && strings.Contains(path, "segment") {
+		v.left--
+		return nil, &os.PathError{Op: "open", Path: path, Err: os.ErrNotExist}
+	}
+	return v.systemFiles.Open(path)
+}
+
+// A folder that a process has can be read while it removes a former segment; it was told as an error.
+func TestReadWhileSegmentsGo(t *testing.T) {
+	folder := t.TempDir()
+	s, _ := open(t, folder, Options{})
+	_ = s.Start([][]byte{[]byte("snap")}, true)
+	defer s.Close()
+	if r, err := Read(folder, &vanishing{left: 2}, "boot-1"); err != nil || texts(r.Records) != "snap" {
+		t.Fatal(r, err)
+	}
+	if _, err := Read(folder, &vanishing{left: 100}, "boot-1"); err == nil {
+		t.Fatal("a segment that can never be opened is told")
+	}
+}
+
 // Whatever a segment holds, reading it ends, and gives no record with a wrong checksum.
 func FuzzReadSegment(f *testing.F) {
 	folder := f.TempDir()
