Large changes are checked beside the loop; a ledger is no longer behind for good

Found on reading the change again. A document was compiled on the event loop, however many routes it had: it is compiled by who asks, against a copy of the list. Usual watch, burst and wait stand in their modules, not in the reader of the file. Unused views and fields are gone.

--- a/gateway/generations.go
+++ b/gateway/generations.go
@@ -53,7 +53,12 @@
 		return
 	}
 	gs.module.Clock(int64(gs.g.clock.now()))
-	_, findings, err := gs.propose(Change{Document: c.Document, Digest: c.Digest, Text: c.Text, Watch: watch})
+	first := *c
+	first.Watch = watch
+	x, findings, err := compiled(first, gs.world())
+	if err == nil {
+		_, err = gs.propose(x, first)
+	}
 	for _, f := range findings {
 		gs.g.log.Warn("operator's file", "finding", f.Error())
 	}
@@ -74,8 +79,16 @@
 // Apply checks a change and stages it; it is applied, watched, and kept or undone by what Status tells later. Findings
 // that are warnings do not refuse it. It may be called at any time from any goroutine, and waits until Run has begun.
 func (g *Gateway) Apply(ctx context.Context, c Change) (no rollout.Generation, findings []routes.Finding, err error) {
+	var w *routes.World
+	if err = g.inLoop(ctx, func() error { w = g.generations.world(); return nil }); err != nil {
+		return 0, nil, err
+	}
+	x, findings, err := compiled(c, w) // beside the loop: a large document takes long
+	if err != nil {
+		return 0, findings, err
+	}
 	err = g.inLoop(ctx, func() error {
-		no, findings, err = g.generations.propose(c)
+		no, err = g.generations.propose(x, c)
 		return err
 	})
 	return no, findings, err
@@ -140,21 +153,25 @@
 	return w
 }
 
-func (gs *generations) propose(c Change) (rollout.Generation, []routes.Finding, error) {
-	x := &generation{document: c.Document, text: c.Text, digest: c.Digest, barred: barredBy(c.Document)}
-	var findings []routes.Finding
+// compiled is a change that has passed the checks.
+func compiled(c Change, w *routes.World) (x *generation, findings []routes.Finding, err error) {
+	x = &generation{document: c.Document, text: c.Text, digest: c.Digest, barred: barredBy(c.Document)}
 	if c.Document != nil {
-		if x.table, findings = routes.Compile(c.Document, gs.world()); x.table == nil {
-			return 0, findings, fmt.Errorf("the change is refused, the former configuration stays")
+		if x.table, findings = routes.Compile(c.Document, w); x.table == nil {
+			return nil, findings, fmt.Errorf("the change is refused, the former configuration stays")
 		}
 	}
+	return x, findings, nil
+}
+
+func (gs *generations) propose(x *generation, c Change) (rollout.Generation, error) {
 	x.no = gs.next + 1
 	if err := gs.module.Propose(rollout.Change{Generation: x.no, Digest: c.Digest, Watch: c.Watch, Again: c.Again}); err != nil {
-		return 0, findings, err
+		return 0, err
 	}
 	gs.next = x.no
 	gs.all[x.no] = x
-	return x.no, findings, nil
+	return x.no, nil
 }
 
 // carryOut does what the module decides until there is nothing left.
--- a/gateway/ledger_test.go
+++ b/gateway/ledger_test.go
@@ -180,6 +180,19 @@
 	if a := c.Read(0); a.String() != "served 3" {
 		t.Fatal(a)
 	}
+	// An early answer whose record is then refused: the snapshot that has it ends "behind" too, which stayed for good.
+	held = make(chan struct{})
+	d.set(func() { d.held, d.full = held, true })
+	if a := c.Write(0, "s4", "4"); a.String() != "served 4" {
+		t.Fatal(a)
+	}
+	awaitLine(t, lines, "now=true span_ms")
+	d.set(func() { d.held = nil })
+	close(held)
+	awaitLine(t, lines, "records are not kept")
+	d.set(func() { d.full = false })
+	awaitLine(t, lines, "now=false span_ms")
+	until(func() bool { return complete(t, plan.Ledger.Folder) })
 }
 
 // A folder that another process has is refused at the start.
--- a/gateway/marks.go
+++ b/gateway/marks.go
@@ -109,6 +109,10 @@
 		m.failing = err != nil
 		m.s.g.log.Info("ledger", "what", text, "why", err)
 	}
+	if err == nil && m.early == 0 { // a snapshot has all that was refused before
+		m.ledger.Caught()
+		m.note(false)
+	}
 }
 
 func (m *marks) close() error { return m.ledger.Close() }
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -20,7 +20,6 @@
 	tokens *peerwire.Wire
 	marks  *marks // nil where nothing is kept
 	turns  int    // members asked in turn while there is no primary
-	wakeAt decide.Nanos
 }
 
 // newSessions prepares them; open starts them.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -17,6 +17,8 @@
 	"github.com/hashicorp/hcl/v2/gohcl"
 
 	"magpieglade/gateway"
+	"magpieglade/ledger"
+	"magpieglade/rollout"
 	"magpieglade/routes"
 	"magpieglade/session"
 )
@@ -64,7 +66,7 @@
 		return nil, err
 	}
 	r := &reader{folder: filepath.Dir(path)}
-	f := &File{Watch: 30 * time.Second, Digest: digest(text), Text: text}
+	f := &File{Watch: time.Duration(rollout.UsualWatch), Digest: digest(text), Text: text}
 	top := r.block(body, []string{"clock_error", "control", "changes", "watch", "in_flight", "exclude", "drain"}, "sessions", "tenant", "route")
 	top.duration("clock_error", (*int64)(&f.ClockError), 0)
 	top.duration("watch", (*int64)(&f.Watch), 0)
@@ -202,7 +204,7 @@
 		r.wrong(in.rangeOf("folder", b.DefRange), "folder is lacking", "Name a folder that outlives the process.")
 	}
 	in.oneOf("before_answer", &before, string(gateway.DurableNone), string(gateway.DurableProcess))
-	p.Ledger.BeforeAnswer, p.Ledger.AtMost = gateway.Durability(before), int64(20*time.Millisecond)
+	p.Ledger.BeforeAnswer, p.Ledger.AtMost = gateway.Durability(before), ledger.UsualWait
 	in.duration("at_most", &p.Ledger.AtMost, time.Millisecond)
 }
 
--- a/internal/operator/routes.go
+++ b/internal/operator/routes.go
@@ -52,7 +52,7 @@
 	in.whole("bytes", &bytes, 1, 1<<40)
 	t.Bytes = int64(bytes)
 	in.number("rate", &t.Rate, 0, 1e9)
-	t.Burst = max(1, t.Rate/10) // a tenth of a second's
+	t.Burst = routes.UsualBurst(t.Rate)
 	in.number("burst", &t.Burst, 1, 1e9)
 	return t
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -40,6 +40,10 @@
 	Unread   int // records that are none of this version's
 }
 
+// UsualWait is how long an answer waits for its mark where the operator does not say, in nanoseconds. Ours: far above
+// what the kernel takes, far below any SLA time.
+const UsualWait = int64(20e6)
+
 // Disk is the file system that a ledger is on.
 type Disk = store.Files
 
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -85,6 +85,9 @@
 	Undone   []uint64   // digests, latest last
 }
 
+// UsualWatch is how long a change is watched that does not say. Ours: most drops are told within a tenth of it.
+const UsualWatch = int64(30e9)
+
 // Spans and counts. Sources: ours, by the tests in rollout_test.go.
 const (
 	stretch    = 3  // a watch that is disturbed lasts this many times as long at the most
--- a/routes/limits.go
+++ b/routes/limits.go
@@ -30,6 +30,9 @@
 // reservePart of an unused share is never lent: a tenant that comes back with a burst of so much waits for nobody. Ours.
 const reservePart = 0.1
 
+// UsualBurst is that of a rate whose burst is not said: a tenth of a second's. Ours.
+func UsualBurst(rate float64) float64 { return max(1, rate/10) }
+
 // wantSpan is for how long a tenant that was refused within its share lends nothing: long against a txn. Ours.
 const wantSpan = int64(1e9)
 
--- a/session/peers.go
+++ b/session/peers.go
@@ -11,7 +11,6 @@
 	heardAt  int64
 	asked    [4]asked // latest questions
 	askedNo  int
-	wrong    uint64 // pages of another epoch that nobody asked for
 	silentAt int64
 	retry    int64 // after which one that is silent is asked again, longer each time
 }
@@ -129,7 +128,6 @@
 	case since >= 0:
 		s.adopt(from, page)
 	default: // only an answer to a question of this run tells which run of its gateway goes on
-		p.wrong++
 		for i := range page.Entries {
 			if e := &page.Entries[i]; e.Kind == Sent { // true of any run
 				s.learn(e, max(0, e.Age), since)
@@ -233,23 +231,3 @@
 	}
 	return span
 }
-
-// Coverage lists what is known of each peer, for metrics and the on-call.
-func (s *Sessions) Coverage() (all []PeerView) {
-	for i := range s.peers {
-		if p := &s.peers[i]; s.isPeer(i) {
-			all = append(all, PeerView{Peer: i, Known: p.known, Silent: p.silent, Epoch: p.epoch, Upto: p.upto,
-				HeardAgo: s.now - p.heardAt, Wrong: p.wrong})
-		}
-	}
-	return all
-}
-
-// PeerView is what is known of a peer.
-type PeerView struct {
-	Peer          int
-	Known, Silent bool
-	Epoch, Upto   uint64
-	HeardAgo      int64
-	Wrong         uint64
-}
--- a/session/session.go
+++ b/session/session.go
@@ -164,10 +164,9 @@
 	order  uint64 // of reads by arrival
 	loss   uint64 // how often something that gateways noted was lost to this one
 
-	peers  []peer // by number; this gateway's own is unused
-	notes  notes
-	round  round
-	rounds uint64
+	peers []peer // by number; this gateway's own is unused
+	notes notes
+	round round
 
 	keys   keys
 	credit float64 // messages that may be sent
