Long reads go to few replicas, and gateways tell each other positions

County-report is 26% of the work in pieces of 0.5 to 0.9 s, and a replica applies nothing while it holds one: spread by load, they stop every replica's log half of the time. Fault: place's step 7, which took any replica for reads that need no proof. Now reads of over two waits that any member may answer go to a quarter of the group, those furthest behind by what all know. The gateway on sockets tells the module that it carries no news.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -54,6 +54,11 @@
 	rescueMeans  = 2.0       // service times after which a read on a suspect is taken elsewhere
 	farPenalty   = 1.15      // a member elsewhere must be this much less loaded to be preferred
 	errorPenalty = 20.0      // one that answers errors alone must be this much less loaded to be preferred
+	shareSpan    = 100 * ms  // news of a position are told when it is this much ahead of what all were told
+	sharePart    = 3         // or this part of a bound ahead, so that what is told still proves it on arrival
+	holdMost     = 2.0       // waits of a tokened read that a read may take and not hold its replica up
+	holdSame     = 1000 * ms // replicas less behind than this are alike
+	holdersPart  = 4         // part of a group that takes such reads, and of their time that they wait for it
 	reportAge    = 1000 * ms // an answer's word on a role outweighs a report's for this long
 	jamPart      = 4         // part of its SLA time that a row's oldest waits before newest are first
 	scanDepth    = 64        // waiting txns of a row looked at in a round: bounds the work in a jam
@@ -119,6 +124,9 @@
 	g.closed(t, s, r)
 	g.heardNote(m, role, position)
 	g.heardReport(m, report)
+	if role == RolePrimary && g.site.Family.WhenBehind != "none" {
+		m.reached(s.at) // a primary stands at the present
+	}
 	switch r {
 	case Committed:
 		g.answered(m)
@@ -161,6 +169,7 @@
 		t.group.scout = nil
 	}
 	t.done = t.done || over
+	g.share(m)
 	g.forget(t)
 	if !t.done && !t.waiting && t.out == 0 {
 		g.queue(t)
@@ -175,6 +184,7 @@
 	}
 	up := r == Committed
 	g.heardReport(m, report)
+	g.share(m)
 	if m.refusals+m.breaks > 0 && m.checkedAt > 0 {
 		switch m.checkedAt = 0; {
 		case up && m.refusals > 0:
@@ -268,6 +278,20 @@
 	}
 }
 
+// share has the others told what was learned of a member, where they were not told nearly as much. All need proof
+// of the same members, and each alone meets one of them in many seconds.
+func (g *Gateway) share(m *member) {
+	span := Nanos(shareSpan)
+	for i, need := range g.site.Family.Consistency {
+		if need == "lag_bound" {
+			span = min(span, g.site.Family.Bound[i]/sharePart)
+		}
+	}
+	if g.site.Limits.Peers && !m.telling && m.position-m.shared > span {
+		m.telling, g.news = true, append(g.news, m)
+	}
+}
+
 // heardReport takes a report's position, which holds though it is old, and its role where no answer is newer.
 func (g *Gateway) heardReport(m *member, report []float64) {
 	fields := g.site.LoadReport.Fields
@@ -492,7 +516,7 @@
 // steps are what a round looks at, in this order.
 var steps = [...]func(*Gateway) (Decision, bool){
 	(*Gateway).ask, (*Gateway).review, (*Gateway).hangUp, (*Gateway).dispatch, (*Gateway).probe,
-	(*Gateway).line, (*Gateway).wake,
+	(*Gateway).tell, (*Gateway).line, (*Gateway).wake,
 }
 
 // ask follows the list; a call that got no word at all is made again too.
@@ -646,7 +670,11 @@
 	again := c.Effect == "repeatable" || c.Effect == "by_key" && c.Group == "all"
 	if again || t.ranAt == 0 && t.out == 0 {
 		// It should come back after about as long as what waits here takes to clear.
-		return Decision{Kind: Decline, Txn: t.id, After: min(c.Aim, g.site.Limits.MaxRetryAfter)}
+		d := Decision{Kind: Decline, Txn: t.id}
+		if g.site.Limits.RetryAfter {
+			d.After = min(c.Aim, g.site.Limits.MaxRetryAfter)
+		}
+		return d
 	}
 	return Decision{Kind: RollBack, Txn: t.id}
 }
@@ -793,6 +821,14 @@
 	if p != nil && p.suspect && (checked || p.role == RolePrimary) && g.room(p, t) {
 		return p
 	}
+	if g.holdsUp(t.class) {
+		// Step 7 where one read holds a replica's apply up for long: few replicas get them, the others keep up.
+		if m := g.pick(t, func(m *member) bool { return m != p && g.holder(m, p) }); m != nil {
+			return m
+		} else if g.now < t.arrived+g.patience(t.class)/holdersPart {
+			return nil
+		}
+	}
 	// Steps 2, 3, 6 and 7: a replica that needs no proof or is known to have reached the floor.
 	if m := g.pick(t, func(m *member) bool { return m != p && m.position >= floor }); m != nil {
 		return m
@@ -825,6 +861,36 @@
 	return nil
 }
 
+// holdsUp tells whether a read that any member may answer takes longer than what is to be current may wait. A
+// replica that holds one may apply nothing, and spread over a group such reads leave no replica current.
+func (g *Gateway) holdsUp(class int) bool {
+	return g.site.Family.Consistency[class] == "eventual" &&
+		min(g.expected(class), float64(g.site.Classes[class].Aim)/4) > holdMost*float64(waitSpan)
+}
+
+// holder tells whether a replica is among the few that take such reads: those furthest behind by what all
+// gateways know, so that they agree on them and none that is current is spent.
+func (g *Gateway) holder(m, primary *member) bool {
+	stands := func(o *member) Nanos {
+		if o.position == 0 {
+			return g.now - holdSame
+		}
+		return min(o.position, g.now-holdSame)
+	}
+	before, all, passed := 0, 0, false
+	for _, o := range m.group.members {
+		passed = passed || o == m
+		if o.barred || o.suspect {
+			continue
+		}
+		all++
+		if o != m && o != primary && (stands(o) < stands(m) || !passed && stands(o) == stands(m)) {
+			before++
+		}
+	}
+	return before < (all+holdersPart-1)/holdersPart
+}
+
 // spare is the primary for a read, as far as its writes leave room: none while writes wait here, and less the
 // nearer its latency comes to what cuts the limit, so that reads make way before anyone's writes have to.
 func (g *Gateway) spare(t *txn, p *member) *member {
--- a/decide/interface.go
+++ b/decide/interface.go
@@ -91,9 +91,18 @@
 	Follow               // subscribe to the list's changes
 	Fetch                // ask for the whole list once
 	Wake                 // a call of Woken After this span
+	Tell                 // all other gateways the News
 	Log                  // Text
 )
 
+// News is what one gateway tells the others of a member: a position that it was proven to have reached, and that
+// it was primary then. Neither is ever taken back, so that news may come late, twice or not at all.
+type News struct {
+	Server   Server
+	Position Nanos
+	Primary  bool
+}
+
 // Decision is one thing for the host to do; which fields count depends on Kind.
 type Decision struct {
 	Kind   Kind
@@ -103,4 +112,5 @@
 	Until  Nanos
 	After  Nanos
 	Text   string
+	News   []News
 }
--- a/decide/site.go
+++ b/decide/site.go
@@ -39,7 +39,9 @@
 		MaxAttempts    int
 		MaxRetryAfter  Nanos `json:"maxRetryAfterMs"`
 		MayDuplicate   bool
+		Peers          bool
 		Probes         bool
+		RetryAfter     bool
 	}
 	LoadReport struct {
 		Fields []string
--- a/decide/state.go
+++ b/decide/state.go
@@ -67,6 +67,8 @@
 	startedAt              Nanos
 	position, lag          Nanos // proven position; how far behind it was when last heard of
 	lagAt, heardAt         Nanos // when the lag and the position were told
+	shared                 Nanos // position that all gateways were told
+	telling                bool  // in the gateway's list of those to tell of
 	lackAt, askedAt        Nanos // when a read last passed it over for want of proof; when it was last asked
 	role                   Role
 	roleAt                 Nanos // when an answer told the role last
@@ -182,6 +184,7 @@
 	checks    []Server  // members that refused, to be probed
 	demand    decaying  // service time of the first tries that came
 	busy      []*member // with something in flight, or a moment ago
+	news      []*member // to be told of
 	lacking   []*member // passed over for want of proof and not asked since
 	groups    []*group
 	txns      map[uint64]*txn
@@ -323,6 +326,7 @@
 	delete(g.members, m.id)
 	m.group.members = slices.DeleteFunc(m.group.members, is)
 	g.lacking = slices.DeleteFunc(g.lacking, is)
+	g.news = slices.DeleteFunc(g.news, is)
 }
 
 // opened and closed keep count of what is in flight.
@@ -385,7 +389,7 @@
 func (grp *group) passed() Nanos {
 	low := Nanos(1 << 62)
 	for _, m := range grp.members {
-		if m.ready && m.role != RolePrimary {
+		if !m.barred && m.role != RolePrimary {
 			low = min(low, m.position)
 		}
 	}
@@ -561,3 +565,33 @@
 		return slices.ContainsFunc(grp.members, func(m *member) bool { return !m.barred && !m.suspect })
 	})
 }
+
+// HeardOf takes another gateway's word. It may be late: what it proves still holds, and of two members that were
+// primary the later one counts.
+func (g *Gateway) HeardOf(n News) {
+	m := g.members[n.Server]
+	if m == nil || n.Position > g.now {
+		return
+	}
+	m.shared = max(m.shared, n.Position)
+	m.reached(n.Position)
+	m.lag, m.lagAt, m.heardAt = min(g.behind(m), g.now-n.Position), g.now, g.now
+	if p := g.primaryOf(m.group); n.Primary && n.Position > m.roleAt && (p == nil || n.Position > p.roleAt) {
+		g.heardNote(m, RolePrimary, 0)
+		m.roleAt = n.Position
+	}
+}
+
+// tell hands out what is to be shared, in one message a round.
+func (g *Gateway) tell() (Decision, bool) {
+	if len(g.news) == 0 {
+		return Decision{}, false
+	}
+	d := Decision{Kind: Tell}
+	for _, m := range g.news {
+		d.News = append(d.News, News{m.id, m.position, m.role == RolePrimary})
+		m.telling, m.shared = false, m.position
+	}
+	g.news = g.news[:0]
+	return d, true
+}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -143,17 +143,24 @@
 }
 
 // positionsFromZero gives the settings with positions counted from the clock's zero, as this gateway tells
-// them to the module.
+// them to the module, and with no news from other gateways, as it carries none.
 func positionsFromZero(settings json.RawMessage) ([]byte, error) {
-	var all, family map[string]json.RawMessage
+	var all, family, limits map[string]json.RawMessage
 	if err := json.Unmarshal(settings, &all); err != nil {
 		return nil, fmt.Errorf("configuration: settings: %w", err)
 	}
 	if err := json.Unmarshal(all["familyInfo"], &family); err != nil {
 		return nil, fmt.Errorf("configuration: settings.familyInfo: %w", err)
 	}
+	if err := json.Unmarshal(all["limits"], &limits); err != nil {
+		return nil, fmt.Errorf("configuration: settings.limits: %w", err)
+	}
 	family["countedFromMs"] = json.RawMessage("0")
+	limits["peers"] = json.RawMessage("false")
 	var err error
+	if all["limits"], err = json.Marshal(limits); err != nil {
+		return nil, err
+	}
 	if all["familyInfo"], err = json.Marshal(family); err != nil {
 		return nil, err
 	}
--- a/internal/benchwire/serve.go
+++ b/internal/benchwire/serve.go
@@ -72,6 +72,7 @@
 // host keeps the instances of one process and the numbered lists; nothing else is common to them.
 type host struct {
 	instances map[uint32]*decide.Gateway
+	names     map[uint32]names // by instance
 	pages     map[uint32][]byte
 	acting    []uint32 // instances with an event in this batch, in the order of their first
 	out       []byte
@@ -81,7 +82,7 @@
 // Serve answers batches from in until it ends.
 func Serve(in io.Reader, out io.Writer) error {
 	r, w := bufio.NewReaderSize(in, 1<<16), bufio.NewWriterSize(out, 1<<16)
-	h := &host{instances: map[uint32]*decide.Gateway{}, pages: map[uint32][]byte{}}
+	h := &host{instances: map[uint32]*decide.Gateway{}, names: map[uint32]names{}, pages: map[uint32][]byte{}}
 	var body bytes.Buffer
 	for {
 		var head [8]byte
@@ -145,11 +146,12 @@
 				return fmt.Errorf("record %d: OPEN_INSTANCE without FOR", i)
 			}
 			if g, err = decide.New(seed, text); err == nil {
-				h.instances[at] = g
+				h.instances[at], h.names[at] = g, names{}
 				g.Clock(now)
 			}
 		case 18: // KILLED
 			delete(h.instances, at)
+			delete(h.names, at)
 			g = nil
 		case 20: // PAGE
 			id, n := f.u32(), int(f.u32())
@@ -158,7 +160,7 @@
 			}
 			h.pages[id] = bytes.Clone(f.take(n * 28))
 		case 21: // ANNOUNCE
-			err = h.announce(g, f.u8(), f.u32(), f.u32())
+			err = h.announce(at, f.u8(), f.u32(), f.u32())
 		case 24: // KNOCK
 			id, class, owner, key := f.u64(), f.u8(), f.u32(), f.u64()
 			left, estimate, group, age, options := f.ms(), f.ms(), f.f32(), f.f32(), f.u8()
@@ -206,7 +208,9 @@
 			}
 		case 22: // MEMO
 			f.u16()
-			f.take(int(f.u16()))
+			if text := f.take(int(f.u16())); !f.bad {
+				h.names[at].read(text, now, g.HeardOf)
+			}
 		default:
 			return fmt.Errorf("record %d has the unknown code %d", i, code)
 		}
@@ -228,7 +232,8 @@
 	return nil
 }
 
-func (h *host) announce(g *decide.Gateway, scope byte, version, page uint32) error {
+func (h *host) announce(at uint32, scope byte, version, page uint32) error {
+	g := h.instances[at]
 	if scope == 3 {
 		g.ListFailed()
 		return nil
@@ -248,6 +253,7 @@
 		if !ok {
 			return fmt.Errorf("PAGE entry has the unknown status %d", code)
 		}
+		h.names[at].add(server)
 		g.Listed(server, int(cluster), writer == 1, status, int(zone), float64(share), int(f.u8()), started)
 	}
 	g.ListEnds(s)
@@ -290,6 +296,8 @@
 			text := d.Text[:min(len(d.Text), math.MaxUint16)]
 			h.record(88)
 			h.out = append(le.AppendUint16(h.out, uint16(len(text))), text...)
+		case decide.Tell:
+			h.tell(d.News)
 		case decide.Follow:
 			h.record(90)
 			h.out = append(h.out, 1)
