A miss tells how far a replica lags, and one turned away at once is tried elsewhere

Dropped: room (there on all replicas), cold budgets, list. At fault: Ended took no lag from a bounded read's miss; a report never raised a lag that a guess had let fade to nothing; and a miss that comes at once counted as the whole wait of step 4.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -59,6 +59,7 @@
 	holdMost     = 2.0       // waits of a tokened read that a read may take and not hold its replica up
 	holdSame     = 1000 * ms // replicas less behind than this are alike
 	holdersPart  = 4         // part of a group that takes such reads, and of their time that they wait for it
+	reportOld    = 300 * ms  // a report may be this old: what it lacks more than this is a lag
 	reportAge    = 1000 * ms // an answer's word on a role outweighs a report's for this long
 	jamPart      = 4         // part of its SLA time that a row's oldest waits before newest are first
 	scanDepth    = 64        // waiting txns of a row looked at in a round: bounds the work in a jam
@@ -141,11 +142,11 @@
 		t.done = true
 	case Missed:
 		g.answered(m)
-		if t.token > 0 && position == 0 {
-			m.lag, m.lagAt = max(g.behind(m), g.now-t.token), g.now
+		if floor := g.floorOf(t, s.at); floor > 0 && position == 0 {
+			m.lag, m.lagAt = max(g.behind(m), g.now-floor+waitSpan), g.now
 		}
-		// A read that was turned away has had its wait on a replica: step 5.
-		t.passed = true
+		// A read that was turned away has had its wait on a replica: step 5. Turned away at once it has not.
+		t.passed = g.site.Family.Hold > 0 || g.now >= t.arrived+waitSpan
 		t.pauseTo = g.now + t.budget/holdPart
 	case Full:
 		g.cut(m)
@@ -301,7 +302,7 @@
 			if report[i] > 0 {
 				at := g.site.Family.Zero + Millis(report[i]*1000)
 				m.reached(at)
-				m.lag, m.lagAt, m.heardAt = min(g.behind(m), g.now-at), g.now, g.now
+				m.lag, m.lagAt, m.heardAt = max(min(g.behind(m), g.now-at), g.now-at-reportOld), g.now, g.now
 			}
 		case "x1":
 			newer := g.now-m.roleAt > reportAge || m.role == RoleUnknown
@@ -811,12 +812,8 @@
 	if need == "mutate" || need == "strong" {
 		return g.placeOnPrimary(t, p, need == "mutate")
 	}
-	floor := t.token
+	floor := g.floorOf(t, g.now)
 	checked := g.site.Family.WhenBehind != "none"
-	if need == "lag_bound" {
-		bound := g.site.Family.Bound[t.class]
-		floor = g.now - bound + Nanos(boundMargin*float64(bound))
-	}
 	// A suspect primary gets its trials too: without them nobody would ever see that it answers again.
 	if p != nil && p.suspect && (checked || p.role == RolePrimary) && g.room(p, t) {
 		return p
@@ -891,6 +888,14 @@
 	return before < (all+holdersPart-1)/holdersPart
 }
 
+// floorOf is the position that a read must see when it is sent at a time, 0 if it needs none.
+func (g *Gateway) floorOf(t *txn, at Nanos) Nanos {
+	if g.site.Family.Consistency[t.class] != "lag_bound" {
+		return t.token
+	}
+	return at - Nanos((1-boundMargin)*float64(g.site.Family.Bound[t.class]))
+}
+
 // spare is the primary for a read, as far as its writes leave room: none while writes wait here, and less the
 // nearer its latency comes to what cuts the limit, so that reads make way before anyone's writes have to.
 func (g *Gateway) spare(t *txn, p *member) *member {
--- a/decide/state.go
+++ b/decide/state.go
@@ -575,7 +575,7 @@
 	}
 	m.shared = max(m.shared, n.Position)
 	m.reached(n.Position)
-	m.lag, m.lagAt, m.heardAt = min(g.behind(m), g.now-n.Position), g.now, g.now
+	m.lag, m.lagAt, m.heardAt = max(min(g.behind(m), g.now-n.Position), g.now-n.Position-reportOld), g.now, g.now
 	if p := g.primaryOf(m.group); n.Primary && n.Position > m.roleAt && (p == nil || n.Position > p.roleAt) {
 		g.heardNote(m, RolePrimary, 0)
 		m.roleAt = n.Position
