Silence is counted in the service times of what is in flight

At fault: waits() measured what is in flight against the mean latency of the member's answers, mostly short reads: a report of 0.7 s alone came to twelve of those. Tests for this, holders, misses at once, news and declines without a time; one older example sees a cancel 40 ms later.

--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -403,8 +403,8 @@
 	// 10000 submit 2 to a
 	//  10000 submit 3 to a
 	//  10000 submit 1 to a
-	//  10310 cancel 1/0
-	//  10310 cancel 3/0
+	//  10350 cancel 1/0
+	//  10350 cancel 3/0
 	//  10990 decline 1
 	//  10990 roll back 2
 	//  10990 decline 3
@@ -808,3 +808,95 @@
 	//  10200 cancel 10/0
 	//  10200 log: member 98.0.0.0:0 suspect: silent, 4 in flight, quiet for 200 ms
 }
+
+// long makes the reads that any member may answer long ones, with a client who waits for them.
+var long = []string{`"promiseMs":300,"hardLimitMs":1000,"worth":1,"name":"any"`,
+	`"promiseMs":8000,"hardLimitMs":15000,"worth":1,"name":"any"`}
+
+// A long read in flight to a member that is known by short ones alone is no sign of a fault until it has waited for
+// many times of its own: taken for one, it was called off and begun anew elsewhere, again and again.
+func Example_longReadIsNotSilent() {
+	t := open(long...).list("a b")
+	t.txn(1, 0, 0).pull().at(10020).end(1, 0, "a", Committed, 2, 10000).pull()
+	_ = t.g.Arrived(2, 2, 0, 7, Millis(15000), 0, 0, 0)
+	t.pull().run(13000)
+	// Output:
+	// 10000 submit 1 to a
+	//  10020 submit 2 to a
+}
+
+// A replica that holds a long read may apply nothing. Spread by load such reads left no replica current; they go to
+// a quarter of a group, one of four here, however idle the others are.
+func Example_holders() {
+	t := open(long...).list("p* a b c")
+	for id := range uint64(3) {
+		_ = t.g.Arrived(id, 2, 0, 7, Millis(15000), 0, 0, 0)
+	}
+	t.pull()
+	t.at(14000).end(0, 0, "a", Committed, 2, 10000) // it is behind, and so goes on to be the one
+	t.g.HeardOf(News{Server{'b'}, Millis(13990), false})
+	_ = t.g.Arrived(3, 2, 0, 7, Millis(15000), 0, 0, 0)
+	t.txn(4, 0, 100).pull() // what must be current keeps off it
+	// Output:
+	// 10000 submit 0 to a
+	//  10000 submit 1 to a
+	//  10000 submit 2 to a
+	//  14000 submit 4 to b
+	//  14000 submit 3 to a
+}
+
+// A miss at once is no wait: the read is tried on another replica, not sent to the primary with all others. And it
+// tells a lag, which the next reads heed, where answers hold no position.
+func Example_missAtOnce() {
+	t := open(`"await"`, `"bounce"`, `"waitMs":20`, `"waitMs":0`, `"answersStamped":true`, `"answersStamped":false`)
+	t.list("p* a b").txn(1, 1, 0).pull().at(10001).end(1, 0, "a", Missed, 2, 0).pull()
+	t.txn(2, 1, 0).pull()
+	// Output:
+	// 10000 submit 1 to a
+	//  10001 submit 1 to b
+	//  10001 submit 2 to b
+}
+
+// A position that another gateway saw is a proof, told once to all; without it a fresh gateway had nothing to go by.
+func Example_newsOfPositions() {
+	t := open("await", "none", `"mayDuplicate"`, `"peers":true,"mayDuplicate"`).list("a* b c")
+	t.txn(1, 0, 50).pull()
+	t.g.HeardOf(News{Server{'c'}, Millis(9990), false})
+	t.pull()
+	t.txn(2, 2, 0).pull().end(2, 0, "b", Committed, 2, 9995).pull()
+	t.txn(3, 2, 0).pull().end(3, 0, "b", Committed, 2, 9998).pull() // nearly as much was told
+	// Output:
+	// 10000 submit 1 to c
+	//  10000 submit 2 to b
+	//  10000 tell b at 9995
+	//  10000 submit 3 to b
+}
+
+// News that come late do not make a former primary one again.
+func Example_lateNewsOfPrimary() {
+	t := open().list("a b").at(10100)
+	t.txn(1, 3, 0).pull().end(1, 0, "a", Missed, 2, 10090)
+	t.g.HeardOf(News{Server{'a'}, Millis(10050), true})
+	t.txn(2, 3, 0).pull()
+	// Output:
+	// 10100 submit 1 to a
+	//  10100 submit 1 to b
+}
+
+// Where clients are not told when to come back, a decline says nothing of it.
+func ExampleGateway_noRetryAfter() {
+	for _, allowed := range []string{"true", "false"} {
+		t := open(`"retryAfter":true`, `"maxRetryAfterMs":1000,"retryAfter":`+allowed).list("a-").txn(1, 0, 0)
+		for t.clock < 11000 {
+			t.at(t.clock + 10)
+			for d, ok := t.g.Next(); ok; d, ok = t.g.Next() {
+				if d.Kind == Decline {
+					fmt.Println(t.clock, d.After/Millisecond)
+				}
+			}
+		}
+	}
+	// Output:
+	// 10210 300
+	// 10210 0
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -71,12 +71,12 @@
 	telling                bool  // in the gateway's list of those to tell of
 	lackAt, askedAt        Nanos // when a read last passed it over for want of proof; when it was last asked
 	role                   Role
-	roleAt                 Nanos // when an answer told the role last
-	named                  bool  // the list says that it is the primary
-	out                    int   // submissions in flight from here
-	busy                   bool  // in the gateway's list of those with something in flight
-	lacking                bool  // in the gateway's list of those that were passed over
-	sentSum                Nanos // sum of the times at which they were sent
+	roleAt                 Nanos   // when an answer told the role last
+	named                  bool    // the list says that it is the primary
+	out                    int     // submissions in flight from here
+	busy                   bool    // in the gateway's list of those with something in flight
+	lacking                bool    // in the gateway's list of those that were passed over
+	flight, sentSum        float64 // sums over them of one, and of when they were sent, by their service times
 	limit                  float64
 	elapsed, slow, late    mean     // latency of answers: as it is; in service times; in SLA times
 	failing                mean     // share of errors among its answers
@@ -89,8 +89,8 @@
 	credit                 float64  // service time that a cold member may still be sent
 	creditAt               Nanos
 	quietSince, grownAt    Nanos
-	unanswered             Nanos // waits of submissions that ended without an answer since the last one
-	suspect, unreached     bool  // unreached: no connection, or a broken one, since its last answer
+	unanswered             float64 // waits, in service times, of submissions that ended without an answer since then
+	suspect, unreached     bool    // unreached: no connection, or a broken one, since its last answer
 	trialAt, trial         Nanos
 }
 
@@ -110,6 +110,7 @@
 type submission struct {
 	to        *member
 	at        Nanos
+	rate      float64 // one by the service time that was expected of it
 	over      bool
 	cancelled bool
 }
@@ -337,11 +338,13 @@
 	if m.out == 0 {
 		m.quietSince = g.now
 	}
-	t.subs = append(t.subs, submission{to: m, at: g.now})
+	rate := 1 / max(float64(g.site.Tick), g.expected(t.class)+float64(g.detourTo(m.zone)))
+	t.subs = append(t.subs, submission{to: m, at: g.now, rate: rate})
 	t.waiting = false
 	t.out++
 	m.out++
-	m.sentSum += g.now
+	m.flight += rate
+	m.sentSum += float64(g.now) * rate
 	m.credit -= g.expected(t.class)
 	m.carried.add(g.now, fadeClass, g.expected(t.class))
 }
@@ -350,7 +353,10 @@
 	s.over = true
 	t.out--
 	s.to.out--
-	s.to.sentSum -= s.at
+	s.to.flight -= s.rate
+	if s.to.sentSum -= float64(s.at) * s.rate; s.to.out == 0 {
+		s.to.flight, s.to.sentSum = 0, 0 // what rounding left
+	}
 	if r == Moot || r == Unreachable || r == Reset { // what never came did not cost it anything
 		s.to.credit += g.expected(t.class)
 		s.to.carried.add(g.now, fadeClass, -g.expected(t.class))
@@ -368,7 +374,7 @@
 		g.failing.add(g.now, fadeLatency, x)
 	}
 	if r == Cancelled || r == TimedOut {
-		s.to.unanswered += g.now - max(s.at, s.to.quietSince)
+		s.to.unanswered += float64(g.now-max(s.at, s.to.quietSince)) * s.rate
 	}
 }
 
@@ -526,12 +532,13 @@
 	}
 }
 
-// waits is how many mean latencies a member's work has waited in all since its last answer. What ended
-// without one counts too: a gateway with a txn now and then has little else to go by.
+// waits is how many of their service times a member's work has waited in all since its last answer, by how slow it
+// is of late. What ended without one counts too: a gateway with a txn now and then has little else to go by.
 func (g *Gateway) waits(m *member) float64 {
 	// Work that was sent after the last answer has waited for less than the quiet lasts.
-	waited := min((g.now-m.quietSince)*Nanos(m.out), g.now*Nanos(m.out)-m.sentSum) + m.unanswered
-	return float64(waited) / g.meanLatency(m)
+	waited := min(float64(g.now-m.quietSince)*m.flight, float64(g.now)*m.flight-m.sentSum) + m.unanswered
+	// A service time is a tick at least: a host that stood still must not find quick members silent.
+	return waited / max(m.slow.lean(g.now, fadeLatency, 1, 1), float64(g.site.Tick)*m.flight/float64(max(1, m.out)))
 }
 
 // luck is a txn's own chance, drawn once, so that looking at it again does not raise it.
--- a/decide/trace_test.go
+++ b/decide/trace_test.go
@@ -101,6 +101,10 @@
 			}
 		case HangUp:
 			line("hang up on %c", d.Server[0])
+		case Tell:
+			for _, n := range d.News {
+				line("tell %c at %d", n.Server[0], n.Position/Millisecond)
+			}
 		case Follow:
 			line("follow the list")
 		case Log:
