News are bounded by the fleet's txns; cold members keep their budget when all are suspect

Sends to cold members printed: most were made with a credit below nothing, all of them where every member was suspect. At fault: room(), which then avoids none and skipped the cold budget too.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -59,6 +59,7 @@
 	holdMost     = 2.0       // waits of a tokened read that a read may take and not hold its replica up
 	holdSame     = 1000 * ms // replicas less behind than this are alike
 	holdersPart  = 4         // part of a group that takes such reads, and of their time that they wait for it
+	toldPerTxn   = 15.0      // messages that all gateways together may get for each txn
 	reportOld    = 300 * ms  // a report may be this old: what it lacks more than this is a lag
 	reportAge    = 1000 * ms // an answer's word on a role outweighs a report's for this long
 	jamPart      = 4         // part of its SLA time that a row's oldest waits before newest are first
@@ -84,6 +85,7 @@
 	t := &txn{id: id, class: class, group: g.groupOf(grp), session: session,
 		arrived: g.now, first: g.now, budget: budget, expiry: g.now + budget, waiting: true}
 	g.service[class].came.add(g.now, fadeClass, 1)
+	g.arrivals.add(g.now, fadeClass, 1)
 	t.aim = g.now + g.patience(class) + Nanos(c.AimStretch*float64(work))
 	// First tries of a type all get the same time, the usual one. Another time marks a client's repeat, which
 	// has what is left of its limit, less or more: that tells how much of the SLA time went by before.
@@ -288,6 +290,9 @@
 			span = min(span, g.site.Family.Bound[i]/sharePart)
 		}
 	}
+	// What all tell grows with members and gateways, what they may spend with txns: the more, the seldomer.
+	rate := g.arrivals.perSpan(g.now, g.startedAt, fadeClass) * toldPerTxn / float64(max(1, len(g.members)))
+	span = max(span, Nanos(1/max(rate, 1e-12)))
 	if g.site.Limits.Peers && !m.telling && m.position-m.shared > span {
 		m.telling, g.news = true, append(g.news, m)
 	}
@@ -820,7 +825,7 @@
 	}
 	if g.holdsUp(t.class) {
 		// Step 7 where one read holds a replica's apply up for long: few replicas get them, the others keep up.
-		if m := g.pick(t, func(m *member) bool { return m != p && g.holder(m, p) }); m != nil {
+		if m := g.pick(t, func(m *member) bool { return m != p && !g.cold(m) && g.holder(m, p) }); m != nil {
 			return m
 		} else if g.now < t.arrived+g.patience(t.class)/holdersPart {
 			return nil
@@ -877,7 +882,7 @@
 	before, all, passed := 0, 0, false
 	for _, o := range m.group.members {
 		passed = passed || o == m
-		if o.barred || o.suspect {
+		if o.barred || o.suspect || o != m && g.cold(o) {
 			continue
 		}
 		all++
@@ -1043,7 +1048,9 @@
 		return false
 	}
 	if m.suspect && !m.unreached && !g.anyWell() {
-		return float64(m.out) < m.limit // the fault is more likely here or on the way, and none is avoided
+		// The fault is more likely here or on the way, and none is avoided; but who is known to be cold still is.
+		known := m.listedAt > 0 && g.now-m.listedAt < g.site.Rules.Cold
+		return float64(m.out) < m.limit && (!known || g.warmEnough(m))
 	}
 	if m.suspect {
 		safe := m.unreached || g.site.Classes[t.class].Effect == "repeatable"
@@ -1060,11 +1067,10 @@
 // all demand, however uneven they are, with no warm peer needed. Each starts at a point drawn by chance below
 // nothing: else hundreds would send their first at once.
 func (g *Gateway) warmEnough(m *member) bool {
-	r := &g.site.Rules
-	age := g.now - m.startedAt
-	if m.startedAt == 0 || age >= r.Cold {
+	if !g.cold(m) {
 		return true
 	}
+	r, age := &g.site.Rules, g.now-m.startedAt
 	share := r.ColdFrom + (1-r.ColdFrom)*max(0, float64(age)/float64(r.Cold))
 	rate := g.demand.perSpan(g.now, g.startedAt, fadeClass) / float64(max(1, g.serving))
 	rate *= share * coldPart * r.FallMultiple
@@ -1078,6 +1084,10 @@
 	return m.credit >= 0
 }
 
+func (g *Gateway) cold(m *member) bool {
+	return m.startedAt > 0 && g.now-m.startedAt < g.site.Rules.Cold
+}
+
 // starts takes a member for cold: what was measured of its last run tells nothing of this one.
 func (g *Gateway) starts(m *member, at Nanos) {
 	m.startedAt, m.limit = at, 1
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -900,3 +900,18 @@
 	// 10210 300
 	// 10210 0
 }
+
+// When every member is suspect none is avoided, but one that the list calls newly started is sent no more than it can
+// bear: a successor that had just become primary fell over under all that its group had waited with.
+func Example_allSuspectOneCold() {
+	t := open().list("a b!")
+	t.txn(1, 2, 0)
+	a, b := t.g.members[Server{'a'}], t.g.members[Server{'b'}]
+	t.at(10100)
+	t.g.lost(a, "silent", false)
+	t.g.lost(b, "silent", false)
+	a.credit, b.credit = -float64(100*ms), -float64(100*ms)
+	fmt.Println(t.g.room(a, t.g.txns[1]), t.g.room(b, t.g.txns[1]))
+	// Output:
+	// true false
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -182,7 +182,8 @@
 	crowds    decaying // members that refused and answered within a moment
 	sparing   bool
 	hangUps   []Server
-	checks    []Server  // members that refused, to be probed
+	checks    []Server // members that refused, to be probed
+	arrivals  decaying
 	demand    decaying  // service time of the first tries that came
 	busy      []*member // with something in flight, or a moment ago
 	news      []*member // to be told of
