--- a/decide/state.go
+++ b/decide/state.go
@@ -536,6 +536,9 @@
 // waits is how many of their service times a member's work has waited in all since its last answer, by how slow it
 // is of late. What ended without one counts too: a gateway with a txn now and then has little else to go by.
 func (g *Gateway) waits(m *member) float64 {
+	if m.out == 0 && m.unanswered == 0 {
+		return 0
+	}
 	// Work that was sent after the last answer has waited for less than the quiet lasts.
 	waited := min(float64(g.now-m.quietSince)*m.flight, float64(g.now)*m.flight-m.sentSum) + m.unanswered
 	// A service time is a tick at least: a host that stood still must not find quick members silent.
