--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -25,6 +25,7 @@
   #   messages_per_txn = 4
   #   peer_wait        = "10ms"  # a question to all may take so long, then the primary is asked
   #   keepalive        = "250ms" # each is asked at least this often
+  #   positions        = false   # true: gateways tell each other the positions of members: docs/migration.md
   #   key "2" { file = "peer-2.key" }         # signs; hexadecimal, 16 bytes or more
   #   key "1" { variable = "MAGPIEGLADE_KEY" } # still valid
   # }
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -142,9 +142,9 @@
 	return seed, n, nil
 }
 
-// positionsFromZero gives the settings with positions counted from the clock's zero, as this gateway tells
-// them to the module, and with no news from other gateways, as it carries none.
-func positionsFromZero(settings json.RawMessage) ([]byte, error) {
+// forModule gives the settings with positions counted from the clock's zero, as this gateway tells them to the
+// module, and with limits.peers as the operator has it: what the platform allows is not yet wished for.
+func forModule(settings json.RawMessage, peers bool) ([]byte, error) {
 	var all, family, limits map[string]json.RawMessage
 	if err := json.Unmarshal(settings, &all); err != nil {
 		return nil, fmt.Errorf("configuration: settings: %w", err)
@@ -156,7 +156,7 @@
 		return nil, fmt.Errorf("configuration: settings.limits: %w", err)
 	}
 	family["countedFromMs"] = json.RawMessage("0")
-	limits["peers"] = json.RawMessage("false")
+	limits["peers"] = json.RawMessage(strconv.FormatBool(peers))
 	var err error
 	if all["limits"], err = json.Marshal(limits); err != nil {
 		return nil, err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	settings, err := positionsFromZero(c.Settings)
+	settings, err := forModule(c.Settings, c.Sessions != nil && c.Sessions.Positions)
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -113,6 +113,7 @@
 	inRefused
 	inList
 	inListFailed
+	inNews
 )
 
 // turn tells the module what came and carries out its decisions until none is left.
@@ -175,6 +176,8 @@
 		g.discovery.tellList(in.list)
 	case inListFailed:
 		g.module.ListFailed()
+	case inNews:
+		g.module.HeardOf(decide.News{Server: in.server, Position: in.position, Primary: in.role == decide.RolePrimary})
 	}
 }
 
@@ -198,6 +201,8 @@
 		g.discovery.call(callFetch)
 	case decide.Wake:
 		g.deadlines.Add(int64(g.clock.now()+d.After), due{kind: dueWake})
+	case decide.Tell:
+		g.sessions.tellNews(d.News)
 	case decide.Log:
 		g.log.Info(d.Text)
 	}
--- /dev/null
+++ b/gateway/migration_test.go
@@ -0,0 +1,175 @@
+package gateway_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"magpieglade/standin"
+)
+
+// newShape makes the settings of a gateway for a deployment of the new build: servers that answer however old their
+// data are, positions from probes alone, a list whose word on who runs binds nobody, declines without a time, and reads
+// that hold a replica up. Everything else is as in the old.
+var newShape = strings.NewReplacer(`"whenBehind":"await"`, `"whenBehind":"none"`, `"roleInList":"none"`, `"roleInList":"trailing"`,
+	`"retryAfter":true`, `"retryAfter":false`, `"how":"answers"`, `"how":"probe"`, `"rules":{`, `"rules":{"softRemoval":true,`,
+	`"promiseMs":300,"hardLimitMs":1000,"worth":1,"name":"any"`, `"promiseMs":4000,"hardLimitMs":8000,"worth":1,"name":"any"`)
+
+// tally is what clients of one kind of gateway saw.
+type tally struct{ asked, served, stale, overdue, unanswered int }
+
+// sessionsAt has clients write and read, each session at its own gateway, and gives what they saw. They carry the
+// position of their last commit, as the servers tell it.
+func sessionsAt(f *fleet, g *standin.Group, mark string, clients, rounds int, half func()) (all tally) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for i := range clients {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c := f.front.NewClient(fmt.Sprintf("%s%06d", mark, i), classes)
+			defer c.Close()
+			written := ""
+			for k := range rounds {
+				if i == 0 && k == rounds/2 {
+					half()
+				}
+				value := fmt.Sprintf("%06d", k+1)
+				key := fmt.Sprintf("%s-%d-%d", mark, i, k)
+				w := c.Write(i%2, key, value)
+				if w.Err == nil && w.Code == "" {
+					e, _ := g.AwaitEvent(0, func(e standin.Event) bool { return e.Kind == "write" && e.Key == key })
+					c.After = e.Position
+				}
+				r := c.Read(i % 2)
+				mu.Lock()
+				for _, a := range []standin.Answer{w, r} {
+					all.asked++
+					switch {
+					case a.Err != nil:
+						all.unanswered++
+					case a.Code == "":
+						all.served++
+					}
+					if a.Took > c.Time+50*time.Millisecond {
+						all.overdue++
+					}
+				}
+				if w.Err == nil && w.Code == "" {
+					written = value
+				}
+				if r.Err == nil && r.Code == "" && r.Value < written {
+					all.stale++
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	return all
+}
+
+// During a move gateways of both shapes stand before the same servers. Each kind must have nine of ten txns served,
+// neither breaks a rule for the other, and what binds one (a list that calls everybody gone) does not stop the other.
+func TestGatewaysOfBothShapes(t *testing.T) {
+	g, members := group(20*time.Millisecond, 3)
+	g.Await = 20 * time.Millisecond
+	before := newFleet(0, "", members...)
+	before.add(2)
+	defer before.stop()
+	after := newFleet(0, strings.Replace(covered, "key \"1\"", "positions = true\n    key \"1\"", 1), members...)
+	after.settings = newShape.Replace(settings)
+	after.add(2)
+	defer after.stop()
+
+	hosts := func(health ...string) (all []standin.Host) {
+		for i, m := range members {
+			all = append(all, m.Host(health[min(i, len(health)-1)]))
+		}
+		return all
+	}
+	kinds := []*fleet{before, after}
+	var told time.Time
+	tallies := make([]tally, 2)
+	var wg sync.WaitGroup
+	for i, f := range kinds {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			tallies[i] = sessionsAt(f, g, [...]string{"aa", "bb"}[i], 8, 30, func() {
+				if i == 0 { // r1 drains for both kinds
+					for _, f := range kinds {
+						f.list.Set(hosts("active", "leaving", "active", "active")...)
+						f.list.AwaitToldTo(2)
+					}
+					told = time.Now()
+				}
+			})
+		}()
+	}
+	wg.Wait()
+	for i, s := range tallies {
+		t.Logf("%s shape: %+v", [...]string{"old", "new"}[i], s)
+		if s.served < s.asked*9/10 || s.stale+s.overdue+s.unanswered > 0 {
+			t.Errorf("kind %d: %+v", i, s)
+		}
+	}
+	writes := map[string]int{}
+	for _, e := range g.Events() {
+		if e.Kind == "write" {
+			if writes[e.Key]++; writes[e.Key] > 1 {
+				t.Errorf("%s took effect twice", e.Key)
+			}
+		}
+		// 250 ms of grace, and 50 ms as on sockets everywhere.
+		if e.Member == "r1" && (e.Kind == "read" || e.Kind == "turned away") && e.At.After(told.Add(300*time.Millisecond)) {
+			t.Errorf("%s at a draining member, %v after all were told", e.Kind, e.At.Sub(told))
+		}
+	}
+
+	// The list calls all gone. In the old shape that binds; in the new one the servers that serve go on to be used, but
+	// for the one that was seen to drain.
+	for _, f := range kinds {
+		f.list.Set([]standin.Host{}...)
+		f.list.AwaitToldTo(2)
+	}
+	old, fresh := before.front.NewClient("cc000001", classes), after.front.NewClient("cc000002", classes)
+	defer old.Close()
+	defer fresh.Close()
+	// It was told, and reads what it was told when its loop comes to it.
+	for end := time.Now().Add(soon); old.Read(0).Code != "53300"; {
+		if time.Now().After(end) {
+			t.Fatal("old shape, nobody listed: still served")
+		}
+	}
+	from := len(g.Events())
+	position := func(key string) int64 {
+		e, _ := g.AwaitEvent(from, func(e standin.Event) bool { return e.Kind == "write" && e.Key == key })
+		return e.Position
+	}
+	for k := range 20 {
+		w := fresh.Write(0, fmt.Sprint("cc-", k), fmt.Sprint("v", k))
+		if w.Err != nil || w.Code != "" {
+			t.Fatalf("new shape, nobody listed: write %v", w)
+		}
+		fresh.After = position(fmt.Sprint("cc-", k))
+		if r := fresh.Read(0); r.Value != fmt.Sprint("v", k) {
+			t.Errorf("new shape, nobody listed: read %v", r)
+		}
+	}
+	for _, e := range g.Events()[from:] {
+		if e.Member == "r1" && e.Kind != "probe" {
+			t.Errorf("%s at a member that was seen to drain", e.Kind)
+		}
+	}
+	// Back: the list is right again, and the old shape serves as before.
+	for _, f := range kinds {
+		f.list.Set(hosts("active", "leaving", "active", "active")...)
+		f.list.AwaitToldTo(2)
+	}
+	if a := persist(old, 0); a.Code != "" {
+		t.Errorf("old shape, list right again: %v", a)
+	}
+}
--- a/gateway/plan.go
+++ b/gateway/plan.go
@@ -19,7 +19,10 @@
 	Listen   netip.AddrPort   // for other gateways; not valid where there are none
 	Gateways []netip.AddrPort // of the whole fleet, this one among them, in the same order everywhere
 	Keys     []PeerKey        // the first signs, all are valid
-	Ledger   LedgerPlan
+	// Positions has gateways tell each other the positions of members, beside what sessions need. The decision module
+	// shares them as limits.peers of the settings has it do.
+	Positions bool
+	Ledger    LedgerPlan
 }
 
 // TokenUse is what the positions that clients bring are good for.
@@ -75,6 +78,9 @@
 			}
 		}
 	}
+	if p.Positions && len(p.Gateways) < 2 {
+		return wrong("positions need other gateways to be told to")
+	}
 	if len(p.Gateways) > 1 || p.Tokens == TokensSigned {
 		if err := p.keys().Check(); err != nil {
 			return wrong("%w", err)
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -81,6 +81,10 @@
 			s.module.Asked(m.From, m.No, m.Epoch, m.Last)
 			return
 		}
+		if m.Type == peerwire.Positions {
+			s.heardNews(m.Entries)
+			return
+		}
 		page := session.Page{Epoch: m.Epoch, Last: m.Last, First: m.First}
 		for _, e := range m.Entries {
 			page.Entries = append(page.Entries, session.Entry{Kind: session.EntryKind(e.Kind), Group: int(e.Group), Key: e.Key,
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -121,7 +121,7 @@
 }
 
 func (r *reader) peers(b *hcl.Block, p *gateway.SessionPlan) {
-	in := r.block(b.Body, []string{"listen", "gateways", "messages_per_txn", "peer_wait", "keepalive"}, "key")
+	in := r.block(b.Body, []string{"listen", "gateways", "messages_per_txn", "peer_wait", "keepalive", "positions"}, "key")
 	in.address("listen", &p.Listen)
 	var all []string
 	if a := in.attrs["gateways"]; a != nil {
@@ -147,6 +147,10 @@
 	in.number("messages_per_txn", &p.Terms.MessagesPerTxn, 0, 1000)
 	in.duration("peer_wait", &p.Terms.PeerWait, time.Millisecond)
 	in.duration("keepalive", &p.Terms.Keepalive, 10*time.Millisecond)
+	in.truth("positions", &p.Positions)
+	if p.Positions && len(p.Gateways) < 2 {
+		r.wrong(in.rangeOf("positions", b.DefRange), "positions need other gateways to be told to", "Name them in gateways.")
+	}
 	for _, k := range in.blocks {
 		r.key(k, p)
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -25,6 +25,8 @@
 		"sessions {\n  tokens = \"signed\"\n}",
 		"sessions {\n  peers {\n    gateways = [\"10.0.0.4:7946\", \"x\"]\n  }\n}",
 		"sessions {\n  peers {\n    listen = \"10.0.0.6:1\"\n    gateways = [\"10.0.0.4:7946\", \"10.0.0.5:7946\"]\n  }\n}",
+		"sessions {\n  peers {\n    positions = \"often\"\n  }\n}",
+		"sessions {\n  peers {\n    positions = true\n  }\n}",
 		"sessions {\n  peers {\n    listen = \"[::1]:1\"\n    messages_per_txn = -1\n  }\n}",
 		"sessions {\n  peers {\n    key \"x\" { file = \"a\" }\n    key \"1\" {}\n    key \"2\" { variable = \"NO_SUCH\" }\n    key \"3\" { file = \"nowhere\" }\n  }\n}",
 		"sessions {\n  ledger {\n    before_answer = \"often\"\n    at_most = \"0s\"\n  }\n}",
@@ -54,6 +56,8 @@
 	// operator.hcl:3:16: "x" is no IPv4 address with a port: Write it as 10.0.0.4:7946.
 	// operator.hcl:4:16: the list lacks 10.0.0.6:1, at which this gateway listens: Name all gateways, this one among them.
 	// operator.hcl:2:3: a key is lacking: Gateways believe one another by a key that they share: key "1" { file = "..." }.
+	// operator.hcl:3:18: Unsuitable value type: Unsuitable value: a bool is required
+	// operator.hcl:3:17: positions need other gateways to be told to: Name them in gateways.
 	// operator.hcl:3:14: listen is no IPv4 address with a port: Write it as 10.0.0.4:7946.
 	// operator.hcl:4:24: messages_per_txn is out of range: It is from 0 to 1000.
 	// operator.hcl:3:9: the name of a key is a number from 0 to 255: As in key "1".
--- a/internal/operator/reader.go
+++ b/internal/operator/reader.go
@@ -130,3 +130,9 @@
 	}
 	*to = a
 }
+
+func (c *content) truth(name string, to *bool) {
+	if a := c.attrs[name]; a != nil {
+		c.r.decode(a, to)
+	}
+}
--- a/internal/peerwire/peerwire.go
+++ b/internal/peerwire/peerwire.go
@@ -28,8 +28,9 @@
 type Type uint8
 
 const (
-	Ask  Type = 1
-	Tell Type = 2
+	Ask       Type = 1
+	Tell      Type = 2
+	Positions Type = 3 // of members; a build that does not know it refuses it as malformed
 )
 
 // Entry is one thing that a gateway noted.
@@ -162,7 +163,7 @@
 
 // Append words a message of this gateway.
 func (w *Wire) Append(dst []byte, m *Message) ([]byte, error) {
-	if len(m.Entries) > MostEntries || m.Type != Ask && m.Type != Tell {
+	if len(m.Entries) > MostEntries || m.Type < Ask || m.Type > Positions {
 		return dst, ErrMalformed
 	}
 	w.counter++
@@ -214,7 +215,7 @@
 	switch {
 	case h.Version != version:
 		return m, ErrVersion
-	case h.N > MostEntries || len(body) != headSize+int(h.N)*oneEntry || h.Type != uint8(Ask) && h.Type != uint8(Tell):
+	case h.N > MostEntries || len(body) != headSize+int(h.N)*oneEntry || h.Type < uint8(Ask) || h.Type > uint8(Positions):
 		return m, ErrMalformed
 	}
 	s := w.signer(h.Key)
--- a/standin/list.go
+++ b/standin/list.go
@@ -32,6 +32,7 @@
 	down    bool
 	changed chan struct{}
 	toldSeq int           // the latest that was given
+	times   int           // how often the one in force was given
 	told    chan struct{} // closed with the next
 }
 
@@ -58,7 +59,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seq++
-	s.hosts = hosts
+	s.hosts, s.times = hosts, 0
 	s.wake()
 }
 
@@ -87,10 +88,13 @@
 }
 
 // AwaitTold waits until a gateway has been given the list that is in force.
-func (s *List) AwaitTold() {
+func (s *List) AwaitTold() { s.AwaitToldTo(1) }
+
+// AwaitToldTo waits until so many gateways, each with one watch, have been given it.
+func (s *List) AwaitToldTo(gateways int) {
 	for {
 		s.mu.Lock()
-		told, more := s.toldSeq >= s.seq, s.told
+		told, more := s.toldSeq >= s.seq && s.times >= gateways, s.told
 		s.mu.Unlock()
 		if told {
 			return
@@ -124,6 +128,7 @@
 	}
 	_ = json.NewEncoder(w).Encode(s.whole())
 	s.toldSeq = s.seq
+	s.times++
 	close(s.told)
 	s.told = make(chan struct{})
 }
