Positions told between gateways are tested on sockets

A second gateway's first read goes to a replica of which it was told, with no probe; without positions it probes.

--- a/gateway/migration_test.go
+++ b/gateway/migration_test.go
@@ -173,3 +173,35 @@
 		t.Errorf("old shape, list right again: %v", a)
 	}
 }
+
+// A gateway that has not heard of a replica believes what another one tells: its first read goes there, and nobody is
+// probed. Without positions it has to probe.
+func TestPositionsAreTold(t *testing.T) {
+	for _, positions := range []string{"true", "false"} {
+		g, members := group(0, 1)
+		f := newFleet(0, strings.NewReplacer("tokens", "source = \"own\"\n  tokens", "key \"1\"", "positions = "+positions+"\n    key \"1\"").Replace(covered), members...)
+		f.settings = newShape.Replace(settings)
+		f.add(2)
+		c := f.front.NewClient("dd000001", classes)
+		c.Write(0, "dd", "v")
+		e, _ := g.AwaitEvent(0, func(e standin.Event) bool { return e.Kind == "write" })
+		for range 20 { // of no session, so any replica will do, and its answer tells where it stands
+			c.Read(0)
+		}
+		from := len(g.Events())
+		c.After = e.Position
+		answer := c.Read(1)
+		probed := 0
+		for _, e := range g.Events()[from:] {
+			if e.Kind == "probe" {
+				probed++
+			}
+		}
+		last := g.Events()[len(g.Events())-1]
+		if answer.Value != "v" || (positions == "true") != (probed == 0 && last.Member == "r1") {
+			t.Errorf("positions %s: %v, by %s, %d probes", positions, answer, last.Member, probed)
+		}
+		c.Close()
+		f.stop()
+	}
+}
