--- a/decide/decide.go
+++ b/decide/decide.go
@@ -22,7 +22,6 @@
 	boundMargin  = 0.02      // of a bound, kept in hand: proven positions err on the safe side already
 	holdPart     = 20        // a write with no primary holds this part of its time between rounds of misses
 	askSpan      = 200 * ms  // a replica is asked for its position this often at most: a session's pause
-	askWrite     = 2000 * ms // by a write on its way only when reads have told nothing for this long
 	askPart      = 8         // or once in this part of its lag, which it cannot make up sooner
 	retryFirst   = 250 * ms  // failed list calls and trials of suspects come again after this, doubled each time
 	pulse        = 5 * ms    // how often open txns are looked at: often against any SLA time
@@ -263,26 +262,8 @@
 	return !m.ready && (m.drained || !g.site.Rules.SoftRemoval)
 }
 
-// heardNote takes an answer's word on role and position.
-func (g *Gateway) heardNote(m *member, role Role, position Nanos) {
-	if role != RoleUnknown {
-		m.role, m.roleAt = role, g.now
-		for _, o := range m.group.members {
-			// One primary at a time: the newest word wins, whichever way the other's answers are late.
-			if role == RolePrimary && o != m && o.role == RolePrimary {
-				o.role = RoleUnknown
-			}
-		}
-		g.notePrimary(m.group)
-	}
-	if position > 0 {
-		m.reached(g.site.Family.Zero + position)
-		m.lag, m.lagAt, m.heardAt = g.now-(g.site.Family.Zero+position), g.now, g.now
-	}
-}
-
-// share has the others told what was learned of a member, where they were not told nearly as much. All need proof
-// of the same members, and each alone meets one of them in many seconds.
+// share has the others told what was learned of a member, where they were not told nearly as much. All need
+// proof of the same members, and each alone meets one of them in many seconds.
 func (g *Gateway) share(m *member) {
 	span := Nanos(shareSpan)
 	for i, need := range g.site.Family.Consistency {
@@ -926,9 +907,6 @@
 // placeOnPrimary is step 1; without a primary that answers, one write at a time tries the members in turn.
 func (g *Gateway) placeOnPrimary(t *txn, p *member, write bool) *member {
 	if p != nil && !p.suspect {
-		if r := g.detour(t); write && r != nil {
-			return r
-		}
 		sure := write || p.role == RolePrimary || g.site.Family.WhenBehind != "none"
 		if sure && g.room(p, t) && !t.tried(p, g.now-pulse) {
 			return p
@@ -970,14 +948,14 @@
 // again. No read that a server does not check relies on it.
 func (g *Gateway) behind(m *member) Nanos { return max(0, m.lag-(g.now-m.lagAt)) }
 
-// silent is a replica that was not heard of for a span, to be asked for its position: proof comes from the
+// silent is a replica that was not heard of for long, to be asked for its position: proof comes from the
 // very reads that need it, and a gateway that has a txn for a group once in many seconds has none else. Near
 // ones come first; a slow way or a cold member, for which what it turns away is work too, is left alone.
-func (g *Gateway) silent(members []*member, span Nanos) *member {
+func (g *Gateway) silent(members []*member) *member {
 	var best *member
 	for _, m := range members {
 		last, far := max(m.heardAt, m.askedAt), m.zone != g.site.Zone
-		if m.barred || m.role == RolePrimary || m.named || m.suspect || g.now-last < max(span, m.lag/askPart) ||
+		if m.barred || m.role == RolePrimary || m.named || m.suspect || g.now-last < max(askSpan, m.lag/askPart) ||
 			g.now < m.restTo || far && g.detourTo(m.zone) > pulse || !g.warmEnough(m) {
 			continue
 		}
@@ -1002,21 +980,12 @@
 		return Decision{}, false
 	}
 	g.lacking = slices.DeleteFunc(g.lacking, (*member).told)
-	if m := g.silent(g.lacking, askSpan); m != nil {
+	if m := g.silent(g.lacking); m != nil {
 		return Decision{Kind: Probe, Server: m.id}, true
 	}
 	return Decision{}, false
 }
 
-// detour sends a write by a silent replica, whose miss runs nothing and tells its position if no report does.
-func (g *Gateway) detour(t *txn) *member {
-	if g.site.Family.WhenBehind != "none" || !g.site.Family.AnswersStamped || len(t.subs) > 0 ||
-		g.site.LoadReport.How != "none" || g.site.Limits.MaxAttempts < 4 {
-		return nil
-	}
-	return g.silent(t.group.members, askWrite)
-}
-
 // pick is the least loaded member with room among those that will do.
 func (g *Gateway) pick(t *txn, will func(*member) bool) *member {
 	var best *member
@@ -1084,10 +1053,6 @@
 	return m.credit >= 0
 }
 
-func (g *Gateway) cold(m *member) bool {
-	return m.startedAt > 0 && g.now-m.startedAt < g.site.Rules.Cold
-}
-
 // starts takes a member for cold: what was measured of its last run tells nothing of this one.
 func (g *Gateway) starts(m *member, at Nanos) {
 	m.startedAt, m.limit = at, 1
--- a/decide/state.go
+++ b/decide/state.go
@@ -606,3 +606,26 @@
 	g.news = g.news[:0]
 	return d, true
 }
+
+// heardNote takes an answer's word on role and position.
+func (g *Gateway) heardNote(m *member, role Role, position Nanos) {
+	if role != RoleUnknown {
+		m.role, m.roleAt = role, g.now
+		for _, o := range m.group.members {
+			// One primary at a time: the newest word wins, whichever way the other's answers are late.
+			if role == RolePrimary && o != m && o.role == RolePrimary {
+				o.role = RoleUnknown
+			}
+		}
+		g.notePrimary(m.group)
+	}
+	if position > 0 {
+		m.reached(g.site.Family.Zero + position)
+		m.lag, m.lagAt, m.heardAt = g.now-(g.site.Family.Zero+position), g.now, g.now
+	}
+}
+
+// cold tells whether a member started so lately that it may not be warm.
+func (g *Gateway) cold(m *member) bool {
+	return m.startedAt > 0 && g.now-m.startedAt < g.site.Rules.Cold
+}
