--- a/decide/decide.go
+++ b/decide/decide.go
@@ -57,7 +57,7 @@
 	sharePart    = 3         // or this part of a bound ahead, so that what is told still proves it on arrival
 	holdMost     = 2.0       // waits of a tokened read that a read may take and not hold its replica up
 	holdSame     = 1000 * ms // replicas less behind than this are alike
-	holdersPart  = 4         // part of a group that takes such reads, and of their time that they wait for it
+	holdersPart  = 3         // part of a group that takes such reads, and of their time that they wait for it
 	toldPerTxn   = 15.0      // messages that all gateways together may get for each txn
 	reportOld    = 300 * ms  // a report may be this old: what it lacks more than this is a lag
 	reportAge    = 1000 * ms // an answer's word on a role outweighs a report's for this long
@@ -871,7 +871,7 @@
 			before++
 		}
 	}
-	return before < (all+holdersPart-1)/holdersPart
+	return before < max(1, all/holdersPart)
 }
 
 // floorOf is the position that a read must see when it is sent at a time, 0 if it needs none.
