--- a/decide/decide.go
+++ b/decide/decide.go
@@ -166,6 +166,12 @@
 		}
 	case Broken, Reset:
 		g.broke(m)
+	case TimedOut, Cancelled: // it took this long at least: what never answers must cut a limit too
+		if late := float64(g.now-s.at-g.detourTo(m.zone)) / float64(g.patience(t.class)); late > 1 {
+			m.late.add(g.now, fadeLatency, late)
+			g.late.add(g.now, fadeClass, late)
+			g.cut(m)
+		}
 	}
 	if t.group.scout == t {
 		t.group.scout = nil
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -195,7 +195,7 @@
 	//  10000 submit 2 to b
 	//  10500 decline 1
 	//  10500 decline 2
-	//  10500 submit 3 to a
+	//  10500 submit 3 to b
 	//  10000 submit 4 to a
 	//  10000 submit 5 to b
 	//  10250 decline 4
@@ -903,3 +903,21 @@
 	// Output:
 	// true false
 }
+
+// What is given up unanswered past its SLA time has taken that long at least. Only answers counted: a replica that
+// served nobody in time kept the first limit of every gateway, and all went on sending to it.
+func Example_unansweredCutsLimits() {
+	t := open().list("a").txn(1, 2, 0).pull()
+	fmt.Println(t.g.members[Server{'a'}].limit)
+	t.at(10250).end(1, 0, "a", TimedOut, 0, 0).txn(2, 2, 0).pull() // within its SLA time
+	fmt.Println(t.g.members[Server{'a'}].limit)
+	t.at(10700).end(2, 0, "a", TimedOut, 0, 0)
+	fmt.Println(t.g.members[Server{'a'}].limit < 2)
+	// Output:
+	// 10000 submit 1 to a
+	// 8
+	//  10250 decline 1
+	//  10250 submit 2 to a
+	// 8
+	// true
+}
