--- a/decide/site.go
+++ b/decide/site.go
@@ -36,6 +36,7 @@
 	Limits    struct {
 		Cancelling     bool
 		ConnectTimeout Nanos `json:"connectTimeoutMs"`
+		Keepalive      Nanos `json:"keepaliveMs"`
 		MaxAttempts    int
 		MaxRetryAfter  Nanos `json:"maxRetryAfterMs"`
 		MayDuplicate   bool
