--- a/decide/decide.go
+++ b/decide/decide.go
@@ -52,7 +52,6 @@
 	heldValue    = 0.3       // cost, of its value, of answering a txn that was never sent after half its time
 	rescueMeans  = 2.0       // service times after which a read on a suspect is taken elsewhere
 	farPenalty   = 1.15      // a member elsewhere must be this much less loaded to be preferred
-	newPenalty   = 1.3       // one with no connection must be this much less loaded to be preferred
 	errorPenalty = 20.0      // one that answers errors alone must be this much less loaded to be preferred
 	shareSpan    = 100 * ms  // news of a position are told when it is this much ahead of what all were told
 	sharePart    = 3         // or this part of a bound ahead, so that what is told still proves it on arrival
@@ -1003,9 +1002,6 @@
 		}
 		// How slow it is compares its latency with what its txns took anywhere.
 		cost := float64(m.out+1) * m.slow.lean(g.now, fadeLatency, 1, leanCount) * (1 + 0.01*g.rng.unit())
-		if g.now-m.sentAt > g.site.Limits.Keepalive { // its connection is closed by now: a new one costs both sides
-			cost *= newPenalty
-		}
 		if m.zone != g.site.Zone {
 			cost *= farPenalty + float64(g.detourTo(m.zone))/g.expected(t.class)
 		}
--- a/decide/site.go
+++ b/decide/site.go
@@ -36,7 +36,6 @@
 	Limits    struct {
 		Cancelling     bool
 		ConnectTimeout Nanos `json:"connectTimeoutMs"`
-		Keepalive      Nanos `json:"keepaliveMs"`
 		MaxAttempts    int
 		MaxRetryAfter  Nanos `json:"maxRetryAfterMs"`
 		MayDuplicate   bool
--- a/decide/state.go
+++ b/decide/state.go
@@ -89,7 +89,6 @@
 	credit                 float64  // service time that a cold member may still be sent
 	creditAt               Nanos
 	quietSince, grownAt    Nanos
-	sentAt                 Nanos   // when something was last sent to it
 	unanswered             float64 // waits, in service times, of submissions that ended without an answer since then
 	suspect, unreached     bool    // unreached: no connection, or a broken one, since its last answer
 	trialAt, trial         Nanos
@@ -345,7 +344,6 @@
 	t.waiting = false
 	t.out++
 	m.out++
-	m.sentAt = g.now
 	m.flight += rate
 	m.sentSum += float64(g.now) * rate
 	m.credit -= g.expected(t.class)
