--- a/decide/decide.go
+++ b/decide/decide.go
@@ -587,8 +587,8 @@
 	// Where all is slow a txn is still tried in half of its SLA time: else nothing could show that it is over.
 	need := min(Nanos(hopeless*g.expected(t.class)), c.Aim/2)
 	last := t.expiry - 2*g.site.Tick
-	if t.out == 0 && c.LateValue == 0 { // what can earn nothing when it comes is taken at once, or not at all
-		last = min(last, max(t.arrived+1, t.aim-need))
+	if t.out == 0 && c.LateValue == 0 && t.aim > t.arrived {
+		last = min(last, t.aim-need)
 	} else if t.out == 0 {
 		last = min(last, t.expiry-need)
 	}
