--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -689,19 +689,19 @@
 	// 10300 submit 1000 to a
 }
 
-// A session's read that came to nothing makes its next one look like a repeat whose SLA time is over, and some only
-// look like it: a member that is idle takes it. None is kept waiting for that so that its client does not ask again.
+// A session's read that came to nothing makes its next one look like a repeat whose SLA time is over. It must not
+// be held unsent until its client leaves: a member that is idle takes it.
 func Example_lateRepeatMeetsIdle() {
 	t := open().list("a")
 	t.txn(1, 0, 0).pull().at(10100).g.Withdrawn(1)
 	t.pull().at(10150).end(1, 0, "a", Cancelled, RoleUnknown, 0)
 	t.at(10600).txn(2, 0, 0).pull().at(10610).txn(3, 0, 0).pull()
-	t.at(10615).pull()
+	t.at(10620).end(2, 0, "a", Committed, RoleReplica, 10620).pull()
 	// Output:
 	//  10000 submit 1 to a
 	//  10100 cancel 1/0
 	//  10600 submit 2 to a
-	//  10615 decline 3
+	//  10620 submit 3 to a
 }
 
 // A txn that no member takes is answered by half of its time, when its client can still ask elsewhere, unless
