A replica's position shows that noted floors are in reach; a test no longer hangs on it

The read after the restart goes, by chance of what it draws, to the primary, which hangs, and is declined after 0.9 s (nothing is known of that member yet, so its silence shows late). From then on each read is refused by the session module: the restored floor is older than a second (settle) and above what the primary told since the restart, which is nothing, so it is fenced at a primary that never answers, while the replica tells a position far beyond the floor in each answer to the fence. At fault: covered() in session/fences.go took the primary's own word alone as proof that a floor is in reach.

--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -180,6 +180,9 @@
 		return
 	}
 	s.turns++
+	if in.result == decide.Committed && at > 0 {
+		s.module.Seen(in.group, s.position(at))
+	}
 	s.module.FenceFailed(in.group, in.fence)
 }
 
--- a/session/fences.go
+++ b/session/fences.go
@@ -13,6 +13,7 @@
 	top     Position // highest position that a primary told of itself
 	topSet  int64    // when the question for that word went out
 	topAt   int64    // the same of the latest word
+	seen    Position // highest that any other member was seen at: the log stood there, whoever is its primary
 	waiting []*read  // in the order of arrival
 	fences  []question
 	fenceAt int64 // no new one before
@@ -26,6 +27,7 @@
 	session  uint64
 	brought  Position
 	complete bool // brought covers all that the session wrote
+	noted    bool // all that was answered before it came is noted here: what it brought alone is in doubt
 	arrived  int64
 	until    int64
 	order    uint64
@@ -92,7 +94,7 @@
 // further ahead may be forged, or of a clock that runs ahead; the primary's position bounds it.
 func (s *Sessions) believed(r *read) bool {
 	known, _ := s.floorOf(r.group, r.session)
-	return r.brought <= max(known, r.group.top)
+	return r.brought <= max(known, r.group.top, r.group.seen)
 }
 
 // Withdrawn takes back a read whose client is gone.
@@ -168,6 +170,31 @@
 	}))
 }
 
+// Seen takes the position of a member that is not the primary, or does not say so. It bounds no read, as the primary
+// may be further; but the group's log stood there, so a floor or a client's position from before that is in reach and
+// needs no primary. Without it a gateway that came back while its primary hangs refuses, from a second on, every read
+// of the sessions that it has notes of. It may harm where a member tells positions that its group never had: what
+// clients bring is then believed up to there.
+func (s *Sessions) Seen(grp int, p Position) {
+	g := s.groupOf(grp)
+	if p <= g.seen {
+		return
+	}
+	g.seen = p
+	s.release(g, func(r *read) (Position, bool) {
+		floor, _ := s.floorOf(g, r.session)
+		switch {
+		case r.complete && s.terms.Source == Covered && s.believed(r):
+			s.stats.Trusted++
+			return r.brought, true
+		case r.noted && s.believed(r):
+			s.stats.Covered++
+			return max(floor, r.brought), true
+		}
+		return 0, false
+	})
+}
+
 // FenceFailed tells that a fence has no answer: no primary is known, it drains, or it did not answer as one.
 func (s *Sessions) FenceFailed(grp int, no uint64) {
 	g := s.groupOf(grp)
@@ -226,7 +253,7 @@
 	return nil
 }
 
-// covered serves the reads up to one in the order of arrival by what is noted. A floor that the primary should have
+// covered serves the reads up to one in the order of arrival by what is noted. A floor that some member should have
 // shown itself beyond long since is not taken as it is.
 func (s *Sessions) covered(g *group, upto uint64) {
 	s.stats.Covered += uint64(s.release(g, func(r *read) (Position, bool) {
@@ -234,10 +261,11 @@
 			return 0, false
 		}
 		floor, at := s.floorOf(g, r.session)
-		if floor > g.top && s.now-at > settle || r.brought > max(floor, g.top) {
+		if floor > max(g.top, g.seen) && s.now-at > settle {
 			return 0, false
 		}
-		return max(floor, r.brought), true
+		r.noted = true
+		return max(floor, r.brought), s.believed(r)
 	}))
 }
 
--- a/session/marks.go
+++ b/session/marks.go
@@ -98,6 +98,9 @@
 // heardTop takes a primary's own word on its position, given at or after a time.
 func (s *Sessions) heardTop(g *group, p Position, at int64) {
 	if p > g.top || at > g.topSet+settle { // lower for so long: another primary, which has less or another clock
+		if p < g.top { // what others showed may be what it lost
+			g.seen = min(g.seen, p)
+		}
 		g.top, g.topSet = p, at
 	}
 	g.topAt = max(g.topAt, at)
--- a/session/trace_test.go
+++ b/session/trace_test.go
@@ -274,6 +274,27 @@
 	// 1101 serve 3 from 9000
 }
 
+// Restored notes are out of reach as far as anybody told, until a replica shows itself beyond them: no primary is needed
+// then, for what clients bring from before that neither. What lies further is still the primary's.
+func Example_replicaShows() {
+	t := open(func(t *Terms) { t.Fleet = 1 })
+	t.s.Restore([]Change{{Kind: Floored, Entry: Entry{Position: 2000}}, {Kind: Noted, Entry: Entry{Kind: Mark, Key: 7, Position: 3000}}})
+	t.at(2500).read(1, 7, 0).read(2, 7, 4000).read(3, 7, 9000).pull()
+	t.complete = true
+	t.at(2501).read(4, 7, 4000)
+	t.s.Seen(0, 2900) // short of all of them
+	t.s.FenceFailed(0, t.fence)
+	t.pull().s.Seen(0, 5000)
+	t.pull()
+	// Output:
+	// 2500 fence group 0 no 1
+	// 2500 wake after 50
+	// 2501 wake after 5
+	// 2501 serve 4 from 4000
+	// 2501 serve 1 from 3000
+	// 2501 serve 2 from 4000
+}
+
 // A floor that its primary has not reached long after is lowered to where that stands: the commit was lost in a
 // switch. Until then reads are the primary's.
 func Example_lostCommit() {
