--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -55,6 +55,7 @@
 	ByCrash    Why = "the gateway ended while it was watched"
 	Unjudged   Why = "its watch went by without a quiet moment to judge it by"
 	Replaced   Why = "a newer one took its place"
+	ByFleet    Why = "the fleet decided"
 	UndoneOnce Why = "it was undone before"
 )
 
@@ -74,6 +75,7 @@
 	Digest     uint64 // of what it says: the same text has the same
 	Watch      int64  // for how long it may be undone by itself; 0 keeps it at once
 	Again      bool   // also if it was undone before
+	Held       bool   // once its watch is over it waits to be kept or undone from outside; until then it is judged
 }
 
 // State is what outlives a process.
@@ -103,6 +105,7 @@
 	kept    Generation
 	change  Change // that is watched
 	began   int64
+	well    bool // held: its watch is over
 	staged  *Change
 	judge   judge
 	undone  []uint64
@@ -157,21 +160,27 @@
 }
 
 // KeepNow keeps the watched change by hand.
-func (r *Rollout) KeepNow() error {
+func (r *Rollout) KeepNow() error { return r.KeepBy(ByHand) }
+
+// KeepBy keeps it for another reason.
+func (r *Rollout) KeepBy(why Why) error {
 	if r.stage != Watched {
 		return fmt.Errorf("no change is watched")
 	}
-	r.keep(ByHand)
+	r.keep(why)
 	return nil
 }
 
 // UndoNow undoes the watched change by hand, or drops the staged one.
-func (r *Rollout) UndoNow() error {
+func (r *Rollout) UndoNow() error { return r.UndoBy(ByHand, "") }
+
+// UndoBy undoes it for another reason, with words on it.
+func (r *Rollout) UndoBy(why Why, words string) error {
 	switch {
 	case r.stage == Watched:
-		r.undo(ByHand, "")
+		r.undo(why, words)
 	case r.staged != nil:
-		r.finish(Ended{Generation: r.staged.Generation, Digest: r.staged.Digest, Why: ByHand})
+		r.finish(Ended{Generation: r.staged.Generation, Digest: r.staged.Digest, Why: why, Text: words})
 		r.staged = nil
 	default:
 		return fmt.Errorf("no change is watched or staged")
@@ -207,11 +216,13 @@
 		judged := r.judge.judged
 		if v := r.judge.verdict(); v.worse {
 			r.undo(ByHealth, v.text)
+		} else if r.well {
+			// it waits
 		} else if watch >= r.change.Watch && float64(judged) >= judgedPart*float64(r.change.Watch) {
-			r.keep(ByWatch)
+			r.watched()
 		} else if watch >= stretch*r.change.Watch {
 			if r.judge.idle() { // nothing came: there is nothing to judge, and nobody was harmed
-				r.keep(ByWatch)
+				r.watched()
 			} else {
 				r.undo(Unjudged, "")
 			}
@@ -222,11 +233,21 @@
 	}
 }
 
+// watched ends a watch that went well.
+func (r *Rollout) watched() {
+	if !r.change.Held {
+		r.keep(ByWatch)
+		return
+	}
+	r.well = true
+	r.log("generation %d: well, held until the fleet decides, %s", r.change.Generation, r.judge.after())
+}
+
 func (r *Rollout) apply(c Change) {
 	r.staged = nil
-	r.change, r.began, r.stage = c, r.now, Watched
+	r.change, r.began, r.stage, r.well = c, r.now, Watched, false
 	r.judge.begin()
-	if c.Watch <= 0 {
+	if c.Watch <= 0 && !c.Held {
 		r.out = append(r.out, Decision{Kind: Apply, Generation: c.Generation})
 		r.keep(ByHand)
 		return
@@ -266,6 +287,27 @@
 	}
 }
 
+// Stands tells how a change stands here, the latest of that digest, and why if it has ended.
+func (r *Rollout) Stands(digest uint64) (s Standing, why string) {
+	switch {
+	case r.staged != nil && r.staged.Digest == digest:
+		return Waiting, ""
+	case r.stage == Watched && r.change.Digest == digest && r.well:
+		return Well, ""
+	case r.stage == Watched && r.change.Digest == digest:
+		return Trying, ""
+	}
+	for i := len(r.ended) - 1; i >= 0; i-- {
+		if e := &r.ended[i]; e.Digest == digest {
+			if e.Kept {
+				return Kept, string(e.Why)
+			}
+			return Undone, string(e.Why) + e.Text
+		}
+	}
+	return Lacking, ""
+}
+
 // Status is where things stand.
 type Status struct {
 	Stage    Stage
