Changes of configuration go to all gateways and are kept or undone by all

Need: a change went to one gateway at a time, by hand. Found on the way, with tests: an undone change that was applied again was answered by its former end (attempts have numbers now); keep by hand at the leader left the others behind (it ends the watch; said again it is kept by all); a kept change of a file with a key beside it was refused after a restart, as the key was looked for in the process's folder (a change is read without the rest of its file). Off without the block; SIGHUP is for one gateway alone.

--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -38,6 +38,13 @@
   # }
 }
 
+# Changes go to all gateways of peers, step by step. Off without this block: docs/configuration.md.
+# spread {
+#   share       = 0.25   # of the others that get a change before all do
+#   unreachable = "wait" # "go on": without gateways that can't be reached
+#   silence     = "10s"
+# }
+
 # What follows can be changed while a gateway runs: docs/configuration.md.
 
 # control = "/run/magpieglade/control"  # magpieglade config apply|status|history|keep|undo --control ...
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -31,6 +31,7 @@
 	Sessions   *SessionPlan  `json:"-"`
 	Change     *Change       `json:"-"` // applied at the start, and kept at once unless another was kept before
 	Changes    *ChangeFolder `json:"-"` // nil where changes do not outlive the process
+	Spread     *SpreadPlan   `json:"-"` // nil where a change is for this gateway alone
 	ClockError time.Duration `json:"-"` // how far the clocks of machines may differ; positions up to this far ahead are believed
 }
 
@@ -139,6 +140,11 @@
 			return 0, n, fmt.Errorf("configuration: %w", err)
 		}
 	}
+	if c.Spread != nil {
+		if err := c.Spread.check(c.Sessions); err != nil {
+			return 0, n, fmt.Errorf("configuration: %w", err)
+		}
+	}
 	return seed, n, nil
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,7 @@
 
 	generations *generations
 	sessions    *sessions // nil where the operator says nothing of them
+	spread      *spread   // nil where changes are each gateway's own
 
 	leaving bool // told to end
 	closing bool // and done with new work
@@ -94,6 +95,9 @@
 			return nil, fmt.Errorf("configuration: %w", err)
 		}
 	}
+	if c.Spread != nil {
+		g.spread = newSpread(g, c.Spread, c.Sessions)
+	}
 	g.discovery.list.hosts, g.discovery.list.groups = map[string]host{}, map[int]bool{}
 	for i := range g.discovery.calls {
 		g.discovery.calls[i].kind = callKind(i)
--- a/gateway/generations.go
+++ b/gateway/generations.go
@@ -57,7 +57,7 @@
 	first.Watch = watch
 	x, findings, err := compiled(first, gs.world())
 	if err == nil {
-		_, err = gs.propose(x, first)
+		_, err = gs.propose(x, first, false)
 	}
 	for _, f := range findings {
 		gs.g.log.Warn("operator's file", "finding", f.Error())
@@ -74,6 +74,7 @@
 	Text     []byte           // that says the same, for Config.Changes
 	Watch    int64            // nanoseconds in which it is undone if health worsens; 0 keeps it at once
 	Again    bool             // also if it was undone before
+	Alone    bool             // for this gateway, where Config.Spread has changes go to all
 }
 
 // Apply checks a change and stages it; it is applied, watched, and kept or undone by what Status tells later. Findings
@@ -88,7 +89,16 @@
 		return 0, findings, err
 	}
 	err = g.inLoop(ctx, func() error {
-		no, err = g.generations.propose(x, c)
+		if g.spread != nil && !c.Alone {
+			if err = g.spread.lead(rollout.Change{Digest: c.Digest, Watch: c.Watch, Again: c.Again}, c.Text); err != nil {
+				return err
+			}
+			if no, err = g.generations.propose(x, c, true); err != nil {
+				g.spread.module.Refuse(c.Digest, err.Error())
+			}
+			return err
+		}
+		no, err = g.generations.propose(x, c, false)
 		return err
 	})
 	return no, findings, err
@@ -164,9 +174,11 @@
 	return x, findings, nil
 }
 
-func (gs *generations) propose(x *generation, c Change) (rollout.Generation, error) {
+// propose stages a change; a held one waits for the fleet once it is well.
+func (gs *generations) propose(x *generation, c Change, held bool) (rollout.Generation, error) {
 	x.no = gs.next + 1
-	if err := gs.module.Propose(rollout.Change{Generation: x.no, Digest: c.Digest, Watch: c.Watch, Again: c.Again}); err != nil {
+	p := rollout.Change{Generation: x.no, Digest: c.Digest, Watch: c.Watch, Again: c.Again, Held: held}
+	if err := gs.module.Propose(p); err != nil {
 		return 0, err
 	}
 	gs.next = x.no
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -133,6 +133,10 @@
 		}
 		g.inputs = g.inputs[:0]
 		g.generations.carryOut()
+		if g.spread != nil {
+			g.spread.carryOut()
+			g.generations.carryOut()
+		}
 		if g.sessions != nil {
 			g.sessions.module.Clock(int64(g.clock.now()))
 			g.sessions.carryOut()
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -85,6 +85,12 @@
 			s.heardNews(m.Entries)
 			return
 		}
+		if m.Type >= peerwire.Offer {
+			if s.g.spread != nil {
+				s.g.spread.heard(&m)
+			}
+			return
+		}
 		page := session.Page{Epoch: m.Epoch, Last: m.Last, First: m.First}
 		for _, e := range m.Entries {
 			page.Entries = append(page.Entries, session.Entry{Kind: session.EntryKind(e.Kind), Group: int(e.Group), Key: e.Key,
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -110,13 +110,14 @@
 	}
 }
 
-// apply proposes what of the operator's file can be changed; the rest of it needs a restart.
+// apply proposes what of the operator's file can be changed; the rest of it needs a restart. A signal is for this gateway
+// alone: who sends one to all at once would have each of them lead.
 func (s *serve) apply(ctx context.Context, g *gateway.Gateway) error {
 	f, err := operator.Read(s.Operator)
 	if err != nil {
 		return err
 	}
-	no, findings, err := g.Apply(ctx, gateway.Change{Document: f.Document, Digest: f.Digest, Text: f.Text, Watch: int64(f.Watch)})
+	no, findings, err := g.Apply(ctx, gateway.Change{Document: f.Document, Digest: f.Digest, Text: f.Text, Watch: int64(f.Watch), Alone: true})
 	for _, x := range findings {
 		slog.Warn("operator's file", "finding", x.Error())
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -24,6 +24,7 @@
 	Path  string // where the text came from, for messages
 	Watch int64  // nanoseconds; below 0 is what the text says
 	Again bool
+	Alone bool // not for the other gateways
 }
 
 // Reply tells what came of a request.
@@ -32,6 +33,7 @@
 	Findings   []string           `json:",omitempty"`
 	Problem    string             `json:",omitempty"`
 	Status     *rollout.Status    `json:",omitempty"`
+	Spread     *gateway.Spread    `json:",omitempty"`
 }
 
 const (
@@ -115,7 +117,7 @@
 		if q.Watch < 0 {
 			q.Watch = int64(f.Watch)
 		}
-		no, findings, err := g.Apply(r.Context(), gateway.Change{Document: f.Document, Digest: f.Digest, Text: []byte(q.Text), Watch: q.Watch, Again: q.Again})
+		no, findings, err := g.Apply(r.Context(), gateway.Change{Document: f.Document, Digest: f.Digest, Text: []byte(q.Text), Watch: q.Watch, Again: q.Again, Alone: q.Alone})
 		reply := Reply{Generation: no}
 		for _, x := range findings {
 			reply.Findings = append(reply.Findings, x.Error())
@@ -126,7 +128,12 @@
 	mux.HandleFunc("POST /undo", func(w http.ResponseWriter, r *http.Request) { answer(w, Reply{}, g.Undo(r.Context())) })
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) {
 		s, err := g.Status(r.Context())
-		answer(w, Reply{Status: &s}, err)
+		if err != nil {
+			answer(w, Reply{}, err)
+			return
+		}
+		spread, err := g.Spread(r.Context())
+		answer(w, Reply{Status: &s, Spread: spread}, err)
 	})
 	return mux
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -31,8 +31,9 @@
 	Watch      time.Duration        // for how long a change of that is undone if health worsens
 	Digest     uint64               // the same for the same text
 	Text       []byte
-	Control    string // the socket at which the gateway can be talked to; empty is none
-	Changes    string // the folder in which changes outlive the process; empty is none
+	Spread     *gateway.SpreadPlan // nil where changes are this gateway's own
+	Control    string              // the socket at which the gateway can be talked to; empty is none
+	Changes    string              // the folder in which changes outlive the process; empty is none
 }
 
 // Apply puts it into a gateway's configuration.
@@ -43,11 +44,15 @@
 		c.Change = &gateway.Change{Document: f.Document, Digest: f.Digest, Text: f.Text, Watch: int64(f.Watch)}
 	}
 	if f.Changes != "" {
-		c.Changes = &gateway.ChangeFolder{Path: f.Changes, Parse: func(text []byte) (*routes.Document, error) {
-			d, _, err := Document(text, "kept change")
-			return d, err
-		}}
+		c.Changes = &gateway.ChangeFolder{Path: f.Changes, Parse: parserOf("kept change")}
 	}
+	if c.Spread = f.Spread; c.Spread != nil {
+		c.Spread.Parse = parserOf("change of another gateway")
+	}
+}
+
+func parserOf(name string) func([]byte) (*routes.Document, error) {
+	return func(text []byte) (*routes.Document, error) { return Document(text, name) }
 }
 
 // Read reads a file.
@@ -67,7 +72,7 @@
 	}
 	r := &reader{folder: filepath.Dir(path)}
 	f := &File{Watch: time.Duration(rollout.UsualWatch), Digest: digest(text), Text: text}
-	top := r.block(body, []string{"clock_error", "control", "changes", "watch", "in_flight", "exclude", "drain"}, "sessions", "tenant", "route")
+	top := r.top(body)
 	top.duration("clock_error", (*int64)(&f.ClockError), 0)
 	top.duration("watch", (*int64)(&f.Watch), 0)
 	top.text("control", &f.Control)
@@ -78,8 +83,16 @@
 			r.wrong(b.DefRange, "a second block of sessions", "There may be one.")
 		case b.Type == "sessions":
 			f.Sessions = r.sessions(b)
+		case b.Type == "spread" && f.Spread != nil:
+			r.wrong(b.DefRange, "a second block of spread", "There may be one.")
+		case b.Type == "spread":
+			f.Spread = r.spread(b)
 		}
 	}
+	if f.Spread != nil && (f.Sessions == nil || len(f.Sessions.Gateways) < 2) {
+		at := slices.IndexFunc(top.blocks, func(b *hcl.Block) bool { return b.Type == "spread" })
+		r.wrong(top.blocks[at].DefRange, "changes have no other gateways to go to", "Name all gateways in sessions { peers { gateways = [...] } }.")
+	}
 	f.Document = r.document(top)
 	if r.diags.HasErrors() {
 		return nil, problems(r.diags)
@@ -87,6 +100,22 @@
 	return f, nil
 }
 
+// top is what the file itself may hold.
+func (r *reader) top(body hcl.Body) *content {
+	return r.block(body, []string{"clock_error", "control", "changes", "watch", "in_flight", "exclude", "drain"}, "sessions", "spread", "tenant", "route")
+}
+
+func (r *reader) spread(b *hcl.Block) *gateway.SpreadPlan {
+	in := r.block(b.Body, []string{"share", "unreachable", "silence"})
+	p := &gateway.SpreadPlan{Share: rollout.UsualShare, Silence: rollout.UsualSilence}
+	unreachable := "wait"
+	in.number("share", &p.Share, 0.001, 1)
+	in.oneOf("unreachable", &unreachable, "wait", "go on")
+	in.duration("silence", &p.Silence, time.Second)
+	p.GoOn = unreachable == "go on"
+	return p
+}
+
 func (r *reader) sessions(b *hcl.Block) *gateway.SessionPlan {
 	p := &gateway.SessionPlan{Terms: session.Defaults(), Tokens: gateway.TokensHints}
 	t := &p.Terms
--- a/internal/operator/routes.go
+++ b/internal/operator/routes.go
@@ -84,14 +84,19 @@
 	return all
 }
 
-// Document reads the text of a file for what can be changed while a gateway runs, with a digest that is the same for
-// the same text.
-func Document(text []byte, path string) (*routes.Document, uint64, error) {
-	f, err := Parse(text, path)
+// Document reads what of a file can be changed while a gateway runs. The rest of it is not looked at: keys and folders
+// may be another gateway's, or of another folder than this process's.
+func Document(text []byte, path string) (*routes.Document, error) {
+	body, err := parseBody(text, path)
 	if err != nil {
-		return nil, 0, err
+		return nil, err
 	}
-	return f.Document, f.Digest, nil
+	r := new(reader)
+	d := r.document(r.top(body))
+	if r.diags.HasErrors() {
+		return nil, problems(r.diags)
+	}
+	return d, nil
 }
 
 func digest(text []byte) uint64 {
--- a/internal/operator/routes_test.go
+++ b/internal/operator/routes_test.go
@@ -23,6 +23,21 @@
 }
 `
 
+// A change is read without the rest of its file: keys and folders may be another gateway's.
+func Example_documentAlone() {
+	text := "sessions {\n  peers {\n    key \"1\" { file = \"nowhere\" }\n  }\n}\n" + routed
+	_, err := Parse([]byte(text), "r.hcl")
+	fmt.Println(err != nil)
+	d, err := Document([]byte(text), "kept change")
+	fmt.Println(d != nil, err)
+	_, err = Document([]byte("route {}"), "kept change")
+	fmt.Println(err)
+	// Output:
+	// true
+	// true <nil>
+	// kept change:1:7: Missing name for route: All route blocks must have 1 labels (name).
+}
+
 // What can be changed while a gateway runs, and what is wrong with it.
 func Example_routes() {
 	f, err := Parse([]byte(routed), "r.hcl")
--- a/rollout/fleet.go
+++ b/rollout/fleet.go
@@ -11,10 +11,11 @@
 // The first is said to lead. A gateway that leads for its own change takes none of others meanwhile.
 //
 // It is called as Rollout is. What is said between gateways may be lost, come twice or late: the first repeats what it
-// wants of each, which is told by the digest alone, and every answer says all that the other knows.
+// wants of each, and every answer says all that the other knows.
 type Fleet struct {
 	terms  FleetTerms
 	now    int64
+	rounds uint64
 	lead   *lead
 	follow *follow
 	out    []FleetDecision
@@ -26,9 +27,13 @@
 	Self, Fleet int     // this gateway's number, and how many there are
 	Share       float64 // of the others that get a change before all do
 	GoOn        bool    // without gateways that can't be reached; else they hold a change back
+	Epoch       int64   // another at each start of the gateway: it tells its attempts apart
 	Silence     int64   // after which a gateway counts as out of reach, and a held change is undone for want of its leader
 }
 
+// UsualShare is that of who does not say. Ours: with it a step more than one gateway, and most still as before.
+const UsualShare = 0.25
+
 // UsualSilence is that of who does not say. Ours: longer than any restart of a gateway that leaves in order.
 const UsualSilence = int64(10e9)
 
@@ -54,6 +59,7 @@
 
 // Offer is what a leader says again and again of its change.
 type Offer struct {
+	Round       uint64 // of this attempt; all else that is said of it names it by that
 	Digest, Sum uint64 // of the change, and of its text
 	Want        Want
 	Again       bool
@@ -85,12 +91,13 @@
 
 const (
 	SendOffer  FleetKind = iota // Offer to gateway To
-	SendFetch                   // ask gateway To for the text of Digest from Offset on
+	SendFetch                   // ask gateway To for the text from Offset on
 	SendPage                    // Text is what stands there
-	SendReport                  // tell gateway To how this one stands to Digest, and why
+	SendReport                  // tell gateway To how this one stands to it, and why
 	Take                        // check Text and propose it, held
 	KeepHeld                    // the Rollout's change of Digest is to be kept
 	UndoHeld                    // or undone, or not begun
+	Told                        // all have been told the end of the change that was spread from here
 	FleetWake
 	FleetLog
 )
@@ -100,7 +107,8 @@
 	Kind     FleetKind
 	To       int
 	Offer    Offer
-	Digest   uint64
+	Round    uint64 // in what is sent
+	Digest   uint64 // in what is done here
 	Offset   int
 	Text     []byte
 	Standing Standing
@@ -116,6 +124,7 @@
 	here   Standing
 	why    string
 	over   Want // ToKeep or ToUndo once that is settled
+	told   bool // and all have heard it
 	others []other
 	nextAt int64
 }
@@ -160,8 +169,9 @@
 	case f.follows():
 		return fmt.Errorf("gateway %d spreads a change: keep or undo that there first", f.follow.leader)
 	}
+	f.rounds++
 	l := &lead{text: text, here: Waiting, nextAt: f.now,
-		offer: Offer{Digest: c.Digest, Sum: sumOf(text), Again: c.Again, Size: len(text), Watch: c.Watch}}
+		offer: Offer{Round: uint64(f.terms.Epoch) + f.rounds, Digest: c.Digest, Sum: sumOf(text), Again: c.Again, Size: len(text), Watch: c.Watch}}
 	share := max(1, int(f.terms.Share*float64(f.terms.Fleet-1)+0.5))
 	for i := range f.terms.Fleet { // the share is those behind this one, so that it is not always the same
 		o := other{step: 1}
@@ -174,6 +184,15 @@
 	return nil
 }
 
+// Resume has a gateway that came back go on to tell a change that it led and kept, and of which not all had heard.
+func (f *Fleet) Resume(digest uint64, text []byte) error {
+	if err := f.Lead(Change{Digest: digest, Again: true}, text); err != nil {
+		return err
+	}
+	f.lead.here, f.lead.over, f.lead.step = Kept, ToKeep, 2
+	return nil
+}
+
 func sumOf(text []byte) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write(text)
@@ -187,7 +206,7 @@
 // Busy gives the digest of the change whose standing here is to be told, 0 for none.
 func (f *Fleet) Busy() uint64 {
 	switch {
-	case f.lead != nil && f.lead.over == 0:
+	case f.lead != nil && (f.lead.over == 0 || f.lead.over == ToKeep && f.lead.here != Kept):
 		return f.lead.offer.Digest
 	case f.follow != nil && f.follow.standing >= Waiting && f.follow.standing <= Well:
 		return f.follow.offer.Digest
@@ -219,22 +238,26 @@
 	}
 }
 
-// Offered takes what a leader says.
-func (f *Fleet) Offered(from int, o Offer) {
+// Offered takes what a leader says. inForce tells that this gateway keeps that very change already.
+func (f *Fleet) Offered(from int, o Offer, inForce bool) {
 	w := f.follow
-	if w == nil || w.offer.Digest != o.Digest || w.leader != from {
+	if o.Want == ToKeep && inForce {
+		f.answer(from, o.Round, Kept, "")
+		return
+	}
+	if w == nil || w.offer.Round != o.Round || w.leader != from {
 		switch {
 		case f.lead != nil && f.lead.over == 0:
-			f.answer(from, o.Digest, Refused, fmt.Sprintf("gateway %d spreads a change of its own", f.terms.Self))
+			f.answer(from, o.Round, Refused, fmt.Sprintf("gateway %d spreads a change of its own", f.terms.Self))
 			return
 		case f.follows():
-			f.answer(from, o.Digest, Refused, fmt.Sprintf("gateway %d has one of gateway %d under way", f.terms.Self, w.leader))
+			f.answer(from, o.Round, Refused, fmt.Sprintf("gateway %d has one of gateway %d under way", f.terms.Self, w.leader))
 			return
 		case o.Want == ToHold || o.Want == ToUndo:
-			f.answer(from, o.Digest, Undone, "it is not there any more")
+			f.answer(from, o.Round, Undone, "it is not there any more")
 			return
 		case o.Size < 0 || o.Size > MostText:
-			f.answer(from, o.Digest, Refused, "its text is too long")
+			f.answer(from, o.Round, Refused, "its text is too long")
 			return
 		}
 		f.begin(from, o)
@@ -265,19 +288,19 @@
 }
 
 // Fetched takes a question for a part of the text.
-func (f *Fleet) Fetched(from int, digest uint64, offset int) {
+func (f *Fleet) Fetched(from int, round uint64, offset int) {
 	l := f.lead
-	if l == nil || l.offer.Digest != digest || offset < 0 || offset >= len(l.text) {
+	if l == nil || l.offer.Round != round || offset < 0 || offset >= len(l.text) {
 		return
 	}
-	f.out = append(f.out, FleetDecision{Kind: SendPage, To: from, Digest: digest, Offset: offset,
+	f.out = append(f.out, FleetDecision{Kind: SendPage, To: from, Round: round, Offset: offset,
 		Text: l.text[offset:min(offset+PageSize, len(l.text))]})
 }
 
 // Page takes a part of the text.
-func (f *Fleet) Page(from int, digest uint64, offset int, text []byte) {
+func (f *Fleet) Page(from int, round uint64, offset int, text []byte) {
 	w := f.follow
-	if w == nil || w.standing != Fetching || w.leader != from || w.offer.Digest != digest || offset%PageSize != 0 ||
+	if w == nil || w.standing != Fetching || w.leader != from || w.offer.Round != round || offset%PageSize != 0 ||
 		offset < 0 || offset >= len(w.text) || len(text) != min(PageSize, len(w.text)-offset) || w.got[offset/PageSize] {
 		return
 	}
@@ -289,9 +312,9 @@
 }
 
 // Reported takes how another gateway stands to the change that is spread from here.
-func (f *Fleet) Reported(from int, digest uint64, s Standing, why string) {
+func (f *Fleet) Reported(from int, round uint64, s Standing, why string) {
 	l := f.lead
-	if l == nil || l.offer.Digest != digest || from < 0 || from >= len(l.others) || s > Refused {
+	if l == nil || l.offer.Round != round || from < 0 || from >= len(l.others) || s > Refused {
 		return
 	}
 	o := &l.others[from]
@@ -310,6 +333,7 @@
 		l.others[i].askedAt = 0
 	}
 	if w == ToKeep {
+		l.step = 2
 		f.out = append(f.out, FleetDecision{Kind: KeepHeld, Digest: l.offer.Digest})
 		f.log("change of %d gateways: kept by all", f.terms.Fleet)
 		return
@@ -344,13 +368,28 @@
 		switch l.here {
 		case Undone, Refused:
 			f.settle(ToUndo, fmt.Sprintf("gateway %d: %s", f.terms.Self, l.why))
-		case Well, Kept:
+		case Well:
 			f.advance()
+		case Kept: // by hand, whatever the others found so far
+			f.settle(ToKeep, l.why)
 		}
 	}
-	if l.step > 0 || l.over != 0 {
+	if l.over == ToKeep && l.here == Undone {
+		f.settle(ToUndo, fmt.Sprintf("gateway %d: it could not be kept", f.terms.Self))
+	}
+	if l.telling() {
 		f.offers()
 	}
+	if l.over == 0 || l.told || !l.telling() {
+		return
+	}
+	for i := range l.others {
+		if i != f.terms.Self && !l.settled(&l.others[i]) {
+			return
+		}
+	}
+	l.told = true
+	f.out = append(f.out, FleetDecision{Kind: Told, Digest: l.offer.Digest})
 }
 
 func (f *Fleet) advance() {
@@ -412,6 +451,11 @@
 	}
 }
 
+// telling: others are told of the change; that it is kept not before this one cannot fall back behind it.
+func (l *lead) telling() bool {
+	return l.over == 0 && l.step > 0 || l.over == ToUndo || l.over == ToKeep && l.here == Kept
+}
+
 // settled tells that nothing more is to be said to a gateway: it has ended the change, or never had it.
 func (l *lead) settled(o *other) bool {
 	switch l.over {
@@ -461,18 +505,18 @@
 	n := 0
 	for at := slices.Index(w.got, false); at >= 0 && at < len(w.got) && n < pagesAtOnce; at++ {
 		if !w.got[at] {
-			f.out = append(f.out, FleetDecision{Kind: SendFetch, To: w.leader, Digest: w.offer.Digest, Offset: at * PageSize})
+			f.out = append(f.out, FleetDecision{Kind: SendFetch, To: w.leader, Round: w.offer.Round, Offset: at * PageSize})
 			n++
 		}
 	}
 }
 
 func (f *Fleet) report() {
-	f.answer(f.follow.leader, f.follow.offer.Digest, f.follow.standing, f.follow.why)
+	f.answer(f.follow.leader, f.follow.offer.Round, f.follow.standing, f.follow.why)
 }
 
-func (f *Fleet) answer(to int, digest uint64, s Standing, why string) {
-	f.out = append(f.out, FleetDecision{Kind: SendReport, To: to, Digest: digest, Standing: s, Words: why[:min(len(why), LongestWords)]})
+func (f *Fleet) answer(to int, round uint64, s Standing, why string) {
+	f.out = append(f.out, FleetDecision{Kind: SendReport, To: to, Round: round, Standing: s, Words: why[:min(len(why), LongestWords)]})
 }
 
 func (f *Fleet) log(format string, a ...any) {
@@ -488,7 +532,7 @@
 			at = min(at, w.askedAt+pageWait)
 		}
 	}
-	if l := f.lead; l != nil && (l.step > 0 || l.over != 0) {
+	if l := f.lead; l != nil && l.telling() {
 		for i := range l.others {
 			o := &l.others[i]
 			if i != f.terms.Self && o.step <= l.step && !l.settled(o) && (at == 0 || o.askedAt+beat < at) {
--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -84,8 +84,14 @@
 
 // crash ends a process; it starts anew with what it kept.
 func (g *gate) crash() {
-	g.f = NewFleet(g.f.terms)
+	l := g.f.lead
+	terms := g.f.terms
+	terms.Epoch += 1e6
+	g.f = NewFleet(terms)
 	g.force, g.stands, g.digest = g.kept, Lacking, 0
+	if l != nil && g.kept == l.offer.Digest && !l.told {
+		_ = g.f.Resume(g.kept, l.text)
+	}
 }
 
 // run plays a span in steps of 10 ms.
@@ -100,13 +106,13 @@
 				g.f.Clock(s.now)
 				switch l.d.Kind {
 				case SendOffer:
-					g.f.Offered(l.from, l.d.Offer)
+					g.f.Offered(l.from, l.d.Offer, g.kept == l.d.Offer.Digest)
 				case SendFetch:
-					g.f.Fetched(l.from, l.d.Digest, l.d.Offset)
+					g.f.Fetched(l.from, l.d.Round, l.d.Offset)
 				case SendPage:
-					g.f.Page(l.from, l.d.Digest, l.d.Offset, l.d.Text)
+					g.f.Page(l.from, l.d.Round, l.d.Offset, l.d.Text)
 				case SendReport:
-					g.f.Reported(l.from, l.d.Digest, l.d.Standing, l.d.Words)
+					g.f.Reported(l.from, l.d.Round, l.d.Standing, l.d.Words)
 				}
 			}
 		}
@@ -250,6 +256,35 @@
 	// 0
 }
 
+// Kept by hand where it leads, a change is kept by all at once, also by those that it had not reached.
+func Example_spreadByHand() {
+	s := newSite(4, 6, 0, nil)
+	_ = s.lead(1, 84, long)
+	s.run(1500e6)
+	fmt.Println(s.inForce(84))
+	s.all[1].end(Kept, "by hand")
+	s.run(1e9)
+	fmt.Println(s.all[0].kept, s.all[1].kept, s.all[2].kept, s.all[3].kept)
+	// Output:
+	// 2
+	// 84 84 84 84
+}
+
+// The same change again, after it was undone, is another attempt: nobody takes it for the first.
+func Example_spreadAgain() {
+	s := newSite(3, 7, 0, nil)
+	s.all[2].bad = true
+	for range 2 {
+		_ = s.lead(0, 85, long)
+		s.run(8e9)
+		fmt.Println(s.inForce(85))
+		s.all[2].bad = false
+	}
+	// Output:
+	// 0
+	// 3
+}
+
 // Two that lead at once: none takes the other's while its own is under way, so at most one is kept, and no part of the
 // other is left.
 func Example_spreadTwice() {
@@ -304,7 +339,7 @@
 		}
 		lacks := 0
 		for _, g := range s.all {
-			if g.bad || g.kept != 9 && g.stands == Undone {
+			if g.bad && g.force != 9 {
 				lacks++ // its own health speaks against it: its leader logs that
 			}
 		}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -159,8 +159,14 @@
 	return nil
 }
 
-// KeepNow keeps the watched change by hand.
-func (r *Rollout) KeepNow() error { return r.KeepBy(ByHand) }
+// KeepNow keeps the watched change by hand. Of a held one it ends the watch; said again it keeps that as well.
+func (r *Rollout) KeepNow() error {
+	if r.stage == Watched && r.change.Held && !r.well {
+		r.watched()
+		return nil
+	}
+	return r.KeepBy(ByHand)
+}
 
 // KeepBy keeps it for another reason.
 func (r *Rollout) KeepBy(why Why) error {
@@ -172,18 +178,26 @@
 }
 
 // UndoNow undoes the watched change by hand, or drops the staged one.
-func (r *Rollout) UndoNow() error { return r.UndoBy(ByHand, "") }
-
-// UndoBy undoes it for another reason, with words on it.
-func (r *Rollout) UndoBy(why Why, words string) error {
+func (r *Rollout) UndoNow() error {
 	switch {
 	case r.stage == Watched:
-		r.undo(why, words)
+		return r.UndoBy(ByHand, r.change.Digest, "")
 	case r.staged != nil:
-		r.finish(Ended{Generation: r.staged.Generation, Digest: r.staged.Digest, Why: why, Text: words})
+		return r.UndoBy(ByHand, r.staged.Digest, "")
+	}
+	return fmt.Errorf("no change is watched or staged")
+}
+
+// UndoBy undoes or drops the change of a digest for another reason, with words on it.
+func (r *Rollout) UndoBy(why Why, digest uint64, words string) error {
+	switch {
+	case r.staged != nil && r.staged.Digest == digest:
+		r.finish(Ended{Generation: r.staged.Generation, Digest: digest, Why: why, Text: words})
 		r.staged = nil
+	case r.stage == Watched && r.change.Digest == digest:
+		r.undo(why, words)
 	default:
-		return fmt.Errorf("no change is watched or staged")
+		return fmt.Errorf("the change is neither watched nor staged")
 	}
 	return nil
 }
