Pools of zones and groups, shorter aims, connections of tenants and the log are live

Need: routes/ knew pools, aims and connections, and nothing carried them out; logging needed a restart. Operator's file: zones, groups, aim in routes, connections in tenants, log.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -114,6 +114,13 @@
 	return nil
 }
 
+// Bind keeps the reads of a txn that has just come to some zones, a bit each, while one there is well.
+func (g *Gateway) Bind(id uint64, zones uint64, aim Nanos) {
+	if t := g.txns[id]; t != nil {
+		t.zones, t.aim = zones, min(t.aim, max(g.now, t.first+aim))
+	}
+}
+
 // Ended tells how a submission ended and what the member said of itself.
 func (g *Gateway) Ended(id uint64, no int, server Server, r Result, elapsed Nanos, role Role, position Nanos,
 	over bool, report []float64) {
@@ -857,12 +864,7 @@
 // holder tells whether a replica is among the few that take such reads: those furthest behind by what all
 // gateways know, so that they agree on them and none that is current is spent.
 func (g *Gateway) holder(m, primary *member) bool {
-	stands := func(o *member) Nanos {
-		if o.position == 0 {
-			return g.now - holdSame
-		}
-		return min(o.position, g.now-holdSame)
-	}
+	stands := func(o *member) Nanos { return min(cmp.Or(o.position, g.now), g.now-holdSame) } // 0 is unknown
 	before, all, passed := 0, 0, false
 	for _, o := range m.group.members {
 		passed = passed || o == m
@@ -993,8 +995,12 @@
 func (g *Gateway) pick(t *txn, will func(*member) bool) *member {
 	var best *member
 	var low float64
+	bound := t.zones != 0 && slices.ContainsFunc(t.group.members, func(m *member) bool {
+		return t.binds(m) && !m.barred && !m.suspect
+	})
 	for _, m := range t.group.members {
-		if m.barred || !will(m) || !g.room(m, t) || (t.out+t.errors > 0 && t.tried(m, 0)) || !g.inTime(t, m) {
+		if bound && !t.binds(m) || m.barred || !will(m) || !g.room(m, t) ||
+			(t.out+t.errors > 0 && t.tried(m, 0)) || !g.inTime(t, m) {
 			continue
 		}
 		// How slow it is compares its latency with what its txns took anywhere.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -936,3 +936,30 @@
 	// 10000 submit 1 to a
 	// 1
 }
+
+// A txn that is kept to a zone is read there, however crowded it is against others, until no member there is well: then
+// anywhere. Its own SLA time is the shorter one.
+func Example_bound() {
+	t := open().list("a b c")
+	for _, m := range t.g.members {
+		m.zone = int(m.id[0] - 'a')
+	}
+	for id := range uint64(3) {
+		t.txn(1+id, 2, 0)
+		t.g.Bind(1+id, 1<<1, Millis(300))
+	}
+	t.pull().end(1, 0, "b", Committed, 2, 9000)
+	t.g.Listed(Server{'b'}, 0, false, Draining, 1, 1, 0, 0)
+	t.g.ListEnds(Delta)
+	t.txn(4, 2, 0)
+	t.g.Bind(4, 1<<1, Millis(300))
+	t.pull().txn(5, 2, 0)
+	t.g.Bind(5, 0, Millis(40))
+	fmt.Println((t.g.txns[4].aim-t.g.now)/ms, (t.g.txns[5].aim-t.g.now)/ms)
+	// Output:
+	// 10000 submit 1 to b
+	//  10000 submit 2 to b
+	//  10000 submit 3 to b
+	//  10000 submit 4 to a
+	// 300 40
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -131,8 +131,12 @@
 	passed                       bool    // step 5: the wait is over, only the primary will do
 	luck                         float64 // see luck
 	pauseTo                      Nanos
+	zones                        uint64 // that its reads are kept to, a bit each; 0 is none
 }
 
+// binds tells whether a member is of the zones that a txn is kept to.
+func (t *txn) binds(m *member) bool { return t.zones>>m.zone&1 == 1 }
+
 // service is what is measured of a txn type: latency and count of what was committed, how many came, and how
 // many left early after what stay.
 type service struct {
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -51,6 +51,8 @@
 # changes = "/var/lib/magpieglade/changes" # where changes outlive the process
 # watch   = "30s" # a change is undone by itself within this, if health worsens
 
+# log     = "info" # the least level that is logged
+
 # in_flight = 500 # txns of all tenants at the most
 # exclude   = ["s-5be2a07c"] # these members get nothing new; drain is the same by another name
 
@@ -60,6 +62,7 @@
 #   bytes     = 1000000
 #   rate      = 200  # txns a second
 #   burst     = 20
+#   connections = 100 # of its clients
 # }
 
 # route "reports" { # the first that matches counts
@@ -71,5 +74,8 @@
 #   type      = "my-report" # the txn type that it runs as
 #   tenant    = "portal"
 #   expiry    = "2s"
+#   aim       = "300ms" # a shorter SLA time
+#   zones     = ["a"]   # its reads go there while a member there is well
+#   groups    = [0]     # what names another cluster is turned away
 #   retries   = 0.1 # repeated submissions as a share of first ones
 # }
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -11,6 +11,7 @@
 	"magpieglade/internal/deadlines"
 	"magpieglade/internal/pgwire"
 	"magpieglade/internal/slots"
+	"magpieglade/routes"
 )
 
 const (
@@ -67,6 +68,7 @@
 	openedAt decide.Nanos
 	user     string
 	database string
+	tenant   int32        // whose connections it counts against, its number in the generation in force plus one
 	admitted bool         // past the startup message
 	asked    bool         // has sent a query that was one
 	counted  bool         // has a descriptor of the budget; who has none is turned away
@@ -180,6 +182,7 @@
 		return
 	}
 	cs.held -= c.held
+	cs.leaves(c)
 	cs.leaveStage(c)
 	if !c.counted {
 		cs.turnedAway--
@@ -412,8 +415,12 @@
 		cs.refuse(ref, "53300", "too many connections")
 		return 0
 	case kind == pgwire.Startup:
-		c.admitted = true
 		c.user, c.database = pgwire.StartupNames(buf[:size])
+		if !cs.admit(c) {
+			cs.refuse(ref, "53300", routes.Clients.String())
+			return 0
+		}
+		c.admitted = true
 		cs.writeClient(c, pgwire.AppendWelcome(cs.g.scratch[:0]))
 	}
 	return size
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,7 @@
 	config  Config
 	names   names
 	log     *slog.Logger
+	least   *slog.LevelVar // that is logged, by the generation in force
 	module  *decide.Gateway
 	clock   clock
 	started chan struct{} // closed when there is a loop to post to
@@ -83,8 +84,9 @@
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
 	g := &Gateway{config: c, names: n, module: module, clock: newClock(), started: make(chan struct{}),
-		log:  cmp.Or(c.Log, slog.Default()).With("gateway", c.Name),
-		byID: map[uint64]slots.Ref{}}
+		byID: map[uint64]slots.Ref{}, least: new(slog.LevelVar)}
+	g.least.Set(everything)
+	g.log = slog.New(levelled{cmp.Or(c.Log, slog.Default()).Handler(), g.least}).With("gateway", c.Name)
 	g.members = members{g: g, pools: map[decide.Server]*pool{}}
 	g.clients.g, g.discovery.g, g.discovery.leave = g, g, map[decide.Server]bool{}
 	g.budget.free = c.Limits.Sockets - reserve
--- a/gateway/generations.go
+++ b/gateway/generations.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -153,7 +154,7 @@
 	w := &routes.World{Zones: g.names.Zones, Groups: map[int][]routes.Host{}, Descriptors: g.budget.all}
 	for i := range g.names.Classes {
 		c := &g.names.Classes[i]
-		w.Types = append(w.Types, routes.Type{Name: c.Name, HardLimit: int64(decide.Millis(c.HardLimit)), Effect: c.Effect,
+		w.Types = append(w.Types, routes.Type{Name: c.Name, HardLimit: int64(decide.Millis(c.HardLimit)), Aim: int64(decide.Millis(c.PromiseMs)), Effect: c.Effect,
 			Need: g.names.FamilyInfo.Consistency[i], Window: int64(decide.Millis(c.Window))})
 	}
 	for _, h := range g.discovery.list.hosts {
@@ -223,8 +224,10 @@
 			}
 		}
 	}
+	gs.g.clients.recount(x)
 	gs.listed(before, x)
 	gs.forget()
+	gs.g.least.Set(levelOf(x.document))
 }
 
 // carry counts a txn of another generation against the tenant of its name, if there is one.
@@ -277,6 +280,9 @@
 		return routes.Free, 0
 	}
 	t.route = t.generation.table.Lookup(x)
+	if !t.generation.table.Admits(t.route.Route, t.comment.Group) {
+		return routes.Elsewhere, 0
+	}
 	now := int64(gs.g.clock.now())
 	if why, after = t.generation.shares.May(t.route.Tenant, int64(t.size), now); why != routes.Free {
 		return why, after
@@ -307,11 +313,32 @@
 	}
 }
 
+// bind tells the module what a txn's route says of it, once it has arrived.
+func (gs *generations) bind(t *txn) {
+	if t.generation == nil || t.generation.table == nil || t.route.Route < 0 {
+		return
+	}
+	if aim := t.generation.table.Routes[t.route.Route].Aim; t.route.Zones != 0 || aim > 0 {
+		gs.g.module.Bind(t.id, t.route.Zones, cmp.Or(decide.Nanos(aim), decide.Millis(gs.g.names.Classes[t.class].PromiseMs)))
+	}
+}
+
+// aimOf is a txn's SLA time: the txn type's, or its route's if that is shorter.
+func (gs *generations) aimOf(t *txn) decide.Nanos {
+	aim := decide.Millis(gs.g.names.Classes[t.class].PromiseMs)
+	if t.generation != nil && t.generation.table != nil && t.route.Route >= 0 {
+		if own := t.generation.table.Routes[t.route.Route].Aim; own > 0 {
+			aim = min(aim, decide.Nanos(own))
+		}
+	}
+	return aim
+}
+
 // served tells of a txn's end for the health of its route.
 func (gs *generations) served(t *txn, committed bool) {
 	c := &gs.g.names.Classes[t.class]
 	got := 0.0
-	if took := gs.g.clock.now() - t.arrived; committed && took <= decide.Millis(c.PromiseMs) {
+	if took := gs.g.clock.now() - t.arrived; committed && took <= gs.aimOf(t) {
 		got = c.Worth
 	} else if committed {
 		got = c.Worth * c.LateValue
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -240,7 +240,9 @@
 	}
 	if err := s.g.module.Arrived(t.id, t.class, 0, t.session, max(1, t.until-now), 0, t.comment.Group, age); err != nil {
 		s.g.rollBack(t.id)
+		return
 	}
+	s.g.generations.bind(t)
 }
 
 func (s *sessions) fence(group int, no uint64) {
--- a/gateway/txns.go
+++ b/gateway/txns.go
@@ -64,6 +64,9 @@
 	}
 	t := txn{id: comment.ID, client: ref, size: size, comment: comment, arrived: g.clock.now()}
 	why, after := g.generations.arrive(&t, g.routed(c, class, text))
+	if why == routes.Elsewhere {
+		return why.String()
+	}
 	t.class = int(t.route.Type)
 	kind := &g.names.Classes[t.class]
 	if kind.Effect == "by_key" && comment.Key == nil {
@@ -117,6 +120,7 @@
 		g.settled(c.txn, true)
 		return err.Error()
 	}
+	g.generations.bind(held)
 	return ""
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -102,7 +102,7 @@
 
 // top is what the file itself may hold.
 func (r *reader) top(body hcl.Body) *content {
-	return r.block(body, []string{"clock_error", "control", "changes", "watch", "in_flight", "exclude", "drain"}, "sessions", "spread", "tenant", "route")
+	return r.block(body, []string{"clock_error", "control", "changes", "watch", "log", "in_flight", "exclude", "drain"}, "sessions", "spread", "tenant", "route")
 }
 
 func (r *reader) spread(b *hcl.Block) *gateway.SpreadPlan {
--- a/internal/operator/routes.go
+++ b/internal/operator/routes.go
@@ -20,6 +20,7 @@
 func (r *reader) document(top *content) *routes.Document {
 	d := new(routes.Document)
 	top.whole("in_flight", &d.InFlight, 1, 1_000_000)
+	top.oneOf("log", &d.Log, "info", "warn", "error")
 	d.Excluded = r.members(top, "exclude")
 	d.Drained = r.members(top, "drain")
 	for _, b := range top.blocks {
@@ -30,7 +31,7 @@
 			d.Routes = append(d.Routes, r.route(b))
 		}
 	}
-	if d.InFlight == 0 && len(d.Excluded)+len(d.Drained)+len(d.Tenants)+len(d.Routes) == 0 {
+	if d.InFlight == 0 && d.Log == "" && len(d.Excluded)+len(d.Drained)+len(d.Tenants)+len(d.Routes) == 0 {
 		return nil
 	}
 	return d
@@ -44,13 +45,14 @@
 }
 
 func (r *reader) tenant(b *hcl.Block) routes.Tenant {
-	in := r.block(b.Body, []string{"weight", "in_flight", "bytes", "rate", "burst"})
+	in := r.block(b.Body, []string{"weight", "in_flight", "bytes", "rate", "burst", "connections"})
 	t := routes.Tenant{Name: b.Labels[0], At: place(b.DefRange), Weight: 1}
 	in.number("weight", &t.Weight, 0, 1e6)
 	in.whole("in_flight", &t.InFlight, 1, 1_000_000)
 	bytes := 0
 	in.whole("bytes", &bytes, 1, 1<<40)
 	t.Bytes = int64(bytes)
+	in.whole("connections", &t.Clients, 1, 1_000_000)
 	in.number("rate", &t.Rate, 0, 1e9)
 	t.Burst = routes.UsualBurst(t.Rate)
 	in.number("burst", &t.Burst, 1, 1e9)
@@ -58,7 +60,7 @@
 }
 
 func (r *reader) route(b *hcl.Block) routes.Route {
-	in := r.block(b.Body, []string{"types", "users", "databases", "tables", "networks", "type", "tenant", "expiry", "retries"})
+	in := r.block(b.Body, []string{"types", "users", "databases", "tables", "networks", "type", "tenant", "expiry", "retries", "aim", "zones", "groups"})
 	t := routes.Route{Name: b.Labels[0], At: place(b.DefRange), Retries: -1}
 	t.Types, t.Users, t.Databases, t.Tables = in.words("types"), in.words("users"), in.words("databases"), in.words("tables")
 	for _, text := range in.words("networks") {
@@ -72,6 +74,11 @@
 	in.text("type", &t.Type)
 	in.text("tenant", &t.Tenant)
 	in.duration("expiry", &t.Expiry, 1e6)
+	in.duration("aim", &t.Aim, 1e6)
+	t.Zones = in.words("zones")
+	if a := in.attrs["groups"]; a != nil {
+		r.decode(a, &t.Groups)
+	}
 	in.number("retries", &t.Retries, 0, 10)
 	return t
 }
--- a/routes/check.go
+++ b/routes/check.go
@@ -27,6 +27,9 @@
 // mostTuples bounds what the conditions of one route may multiply to.
 const mostTuples = 10_000
 
+// mostZones is how many zones a set of them holds.
+const mostZones = 64
+
 // checker gathers findings.
 type checker struct {
 	d        *Document
@@ -140,13 +143,21 @@
 			c.wrong(r.At, "Add a block for it.", "route %q: unknown tenant %q", r.Name, r.Tenant)
 		}
 		for _, z := range r.Zones {
-			if !slices.Contains(c.w.Zones, z) {
+			switch n := slices.Index(c.w.Zones, z); {
+			case n >= mostZones:
+				c.wrong(r.At, fmt.Sprintf("The first %d of the settings can be named.", mostZones), "route %q: zone %q is too far back", r.Name, z)
+			case n < 0:
 				c.wrong(r.At, "The platform's settings name the zones.", "route %q: unknown zone %q", r.Name, z)
 			}
 		}
 		if r.Aim < 0 || r.Expiry < 0 || r.Aim > 0 && r.Expiry > 0 && r.Expiry < r.Aim {
 			c.wrong(r.At, "The aim is at most the expiry, neither is below 0.", "route %q: aim or expiry is out of range", r.Name)
 		}
+		for _, name := range r.Types {
+			if t := c.typeNamed(name); t != nil && r.Aim > t.Aim && t.Aim > 0 {
+				c.warn(r.At, "A route can shorten it.", "route %q: the aim is longer than that of %q, which stays", r.Name, name)
+			}
+		}
 		if math.IsNaN(r.Retries) || r.Retries > 10 {
 			c.wrong(r.At, "It is a share of first submissions: 0.1 is one in ten.", "route %q: retries is out of range", r.Name)
 		}
--- a/routes/document.go
+++ b/routes/document.go
@@ -38,9 +38,9 @@
 
 	Type    string   // the txn type that it runs as; empty leaves it
 	Tenant  string   // whose limits it counts against; empty is none's
-	Groups  []int    // it may go to these alone; empty is any
+	Groups  []int    // it may go to these alone, another one is refused; empty is any
 	Zones   []string // its reads go to members of these zones while there are any; empty is any
-	Aim     int64    // nanoseconds; 0 leaves the txn type's
+	Aim     int64    // nanoseconds, shorter than the txn type's; 0 leaves that
 	Expiry  int64    // nanoseconds that it may take at the most; 0 leaves the client's
 	Retries float64  // repeated submissions as a share of first ones; below 0 is no bound
 }
@@ -64,6 +64,7 @@
 	InFlight int // txns of all tenants at the most, which is what their weights share; 0 is no bound
 	Excluded []Member
 	Drained  []Member
+	Log      string // the least level that is logged: "info", "warn" or "error"; empty is all
 }
 
 // Member names a member by hand.
@@ -88,6 +89,7 @@
 	Effect    string
 	Need      string // what its reads must see, or "mutate"
 	Window    int64
+	Aim       int64
 }
 
 // Host is a listed member.
--- a/routes/limits.go
+++ b/routes/limits.go
@@ -48,12 +48,13 @@
 	Bytes
 	Rate
 	Clients
+	Elsewhere // its route does not go to that group
 )
 
 // String words it for a client or a log.
 func (w Why) String() string {
 	return [...]string{"free", "too many txns in flight", "the tenant's share is in use", "the tenant's txns in flight",
-		"the tenant's bytes in flight", "the tenant's rate", "the tenant's connections"}[w]
+		"the tenant's bytes in flight", "the tenant's rate", "the tenant's connections", "the route does not go to that cluster"}[w]
 }
 
 // NewShares makes the shares of a table. Txns that were begun under another table are not in them; the host carries
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -16,8 +16,8 @@
 
 func world() *World {
 	return &World{Zones: []string{"a", "b"}, Descriptors: 100,
-		Types: []Type{{"any", 1e9, "repeatable", "eventual", 0}, {"bounded", 1e9, "repeatable", "lag_bound", 0},
-			{"session", 1e9, "repeatable", "causal", 0}, {"record", 2e9, "by_key", "mutate", 2e9}, {"pay", 2e9, "once", "mutate", 0}},
+		Types: []Type{{"any", 1e9, "repeatable", "eventual", 0, 0}, {"bounded", 1e9, "repeatable", "lag_bound", 0, 0},
+			{"session", 1e9, "repeatable", "causal", 0, 0}, {"record", 2e9, "by_key", "mutate", 2e9, 0}, {"pay", 2e9, "once", "mutate", 0, 0}},
 		Groups: map[int][]Host{0: {{"p0", "a", false}, {"r0", "b", false}}, 1: {{"p1", "a", false}}}}
 }
 
--- a/routes/table.go
+++ b/routes/table.go
@@ -18,8 +18,9 @@
 // Answer is what holds for a txn. Route is below 0 where none matches: then all is as the platform says.
 type Answer struct {
 	Route  int32
-	Type   int32 // the txn type that it runs as
-	Tenant int32 // below 0 is none
+	Type   int32  // the txn type that it runs as
+	Tenant int32  // below 0 is none
+	Zones  uint64 // that its reads are kept to, a bit each in the order of the settings; 0 is none
 }
 
 // Table is a checked document. It never changes, so that any number of txns may be under way by it.
@@ -77,6 +78,9 @@
 			}
 		}
 		a := Answer{Route: int32(i), Type: -1, Tenant: -1}
+		for _, z := range r.Zones {
+			a.Zones |= 1 << slices.Index(c.w.Zones, z)
+		}
 		if r.Type != "" {
 			a.Type = t.types[r.Type]
 		}
@@ -203,6 +207,17 @@
 	return found
 }
 
+// Admits tells whether txns of a route may go to a group.
+func (t *Table) Admits(route int32, group int) bool {
+	return route < 0 || len(t.Routes[route].Groups) == 0 || slices.Contains(t.Routes[route].Groups, group)
+}
+
+// TenantOf is whose connections one counts against: by what it says of itself, whatever it will ask.
+func (t *Table) TenantOf(x Txn) int32 {
+	x.Type, x.Table = -1, ""
+	return t.Lookup(&x).Tenant
+}
+
 // Lookup gives what holds for a txn, by the first route that matches it.
 func (t *Table) Lookup(x *Txn) Answer {
 	k := key{kind: int32(x.Type), user: t.words[x.User], database: t.words[x.Database], table: t.words[x.Table]}
