Changes can be compared, commands completed; no change takes out a group's primary

config diff shows a file against what is in force (go-udiff); completions prints what a shell needs (kongplete). A change that excludes or drains the primary as it is known now is refused: its group could not be written to.

--- a/decide/state.go
+++ b/decide/state.go
@@ -134,6 +134,18 @@
 	zones                        uint64 // that its reads are kept to, a bit each; 0 is none
 }
 
+// Primary is a group's, as far as it is known.
+func (g *Gateway) Primary(group int) (Server, bool) {
+	for _, grp := range g.groups {
+		if grp.id == group {
+			if p := g.primaryOf(grp); p != nil {
+				return p.id, true
+			}
+		}
+	}
+	return Server{}, false
+}
+
 // binds tells whether a member is of the zones that a txn is kept to.
 func (t *txn) binds(m *member) bool { return t.zones>>m.zone&1 == 1 }
 
--- a/gateway/control_test.go
+++ b/gateway/control_test.go
@@ -61,6 +61,8 @@
 	say("undo")
 	settled("settled: generation 1 in force, 1 kept")
 	say("undo")
+	say("diff", good)
+	say("diff", next)
 	say("apply", next, "--again", "--watch", "1h")
 	settled("watched: generation 4")
 	say("keep")
@@ -83,6 +85,15 @@
 	// generation 3 staged
 	//
 	// magpieglade: no change is watched or staged (exit status 1)
+	//
+	// --- generation 1, in force
+	// +++ next.hcl
+	// @@ -1,3 +1,3 @@
+	// route "all" {
+	// -  expiry = "700ms"
+	// +  expiry = "600ms"
+	// }
+	// magpieglade: next.hcl is not what is in force (exit status 1)
 	// generation 4 staged
 	//
 	// generation  kept   why                                     figures
--- a/gateway/generations.go
+++ b/gateway/generations.go
@@ -128,6 +128,15 @@
 	return s, err
 }
 
+// InForce gives the text of the generation in force; none is of one that came without a text, or of all as the platform says.
+func (g *Gateway) InForce(ctx context.Context) (no rollout.Generation, text []byte, err error) {
+	err = g.inLoop(ctx, func() error {
+		no, text = g.generations.inForce.no, g.generations.inForce.text
+		return nil
+	})
+	return no, text, err
+}
+
 // inLoop runs something on the loop and waits for it.
 func (g *Gateway) inLoop(ctx context.Context, f func() error) error {
 	select {
@@ -158,8 +167,9 @@
 			Need: g.names.FamilyInfo.Consistency[i], Window: int64(decide.Millis(c.Window))})
 	}
 	for _, h := range g.discovery.list.hosts {
-		w.Groups[h.entry.Block] = append(w.Groups[h.entry.Block],
-			routes.Host{Name: h.entry.Host, Zone: h.entry.Site, Draining: h.entry.Health != "active"})
+		primary, known := g.module.Primary(h.entry.Block)
+		w.Groups[h.entry.Block] = append(w.Groups[h.entry.Block], routes.Host{Name: h.entry.Host, Zone: h.entry.Site,
+			Draining: h.entry.Health != "active", Primary: known && primary == h.server})
 	}
 	return w
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -11,6 +11,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/posener/complete"
+	"github.com/willabides/kongplete"
 
 	"magpieglade/gateway"
 	"magpieglade/internal/control"
@@ -24,6 +26,8 @@
 	Ledger books  `cmd:"" help:"Look at the ledger of sessions' marks."`
 
 	Measure measure `cmd:"" help:"Play and measure parts of the program."`
+
+	Completions kongplete.InstallCompletions `cmd:"" help:"Print what a shell needs to complete these commands: eval it, or put it where the shell starts."`
 }
 
 // Run carries out a command line and gives the status to end with.
@@ -44,6 +48,8 @@
 			}
 		}
 	}()
+	kongplete.Complete(parser, kongplete.WithPredictor("file", complete.PredictFiles("*")),
+		kongplete.WithExitFunc(func(code int) { status = code; panic(ended{}) }))
 	k, err := parser.Parse(args)
 	if err != nil {
 		fmt.Fprintln(problems, "magpieglade:", err)
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -9,6 +9,8 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/aymanbagabas/go-udiff"
+
 	"magpieglade/gateway"
 	"magpieglade/internal/control"
 	"magpieglade/internal/operator"
@@ -17,6 +19,7 @@
 
 type config struct {
 	Check   check   `cmd:"" help:"Say what is wrong with an operator's file; nothing and status 0 if it is good."`
+	Diff    diff    `cmd:"" help:"Compare an operator's file with what is in force; status 1 if they differ."`
 	Apply   apply   `cmd:"" help:"Have a running gateway apply what of a file can be changed. It is watched, and undone if health worsens."`
 	Status  status  `cmd:"" help:"Tell which generation is in force and what is watched."`
 	History history `cmd:"" help:"List the changes that ended since the gateway's start."`
@@ -25,7 +28,7 @@
 }
 
 type check struct {
-	File string `arg:"" type:"existingfile" help:"The operator's file."`
+	File string `arg:"" type:"existingfile" help:"The operator's file." predictor:"file"`
 	JSON bool   `name:"json" help:"As JSON."`
 }
 
@@ -46,7 +49,7 @@
 
 // socket is how a running gateway is reached.
 type socket struct {
-	Control string `help:"The gateway's control socket, as its operator's file has it." env:"EDGE_CONTROL" required:"" type:"path"`
+	Control string `help:"The gateway's control socket, as its operator's file has it." env:"EDGE_CONTROL" required:"" type:"path" predictor:"file"`
 	JSON    bool   `name:"json" help:"As JSON."`
 }
 
@@ -60,9 +63,33 @@
 	return r, err
 }
 
+type diff struct {
+	socket
+	File string `arg:"" type:"existingfile" help:"The operator's file." predictor:"file"`
+}
+
+// Run compares them line by line: what is in force was a file too.
+func (d *diff) Run(out io.Writer) error {
+	text, err := os.ReadFile(d.File)
+	if err != nil {
+		return err
+	}
+	r, err := d.ask(out, "GET", "text", nil)
+	if err != nil {
+		return err
+	}
+	if r.Text == string(text) {
+		return nil
+	}
+	if !d.JSON {
+		fmt.Fprint(out, udiff.Unified(fmt.Sprintf("generation %d, in force", r.Generation), d.File, r.Text, string(text)))
+	}
+	return fmt.Errorf("%s is not what is in force", d.File)
+}
+
 type apply struct {
 	socket
-	File  string         `arg:"" type:"existingfile" help:"The operator's file."`
+	File  string         `arg:"" type:"existingfile" help:"The operator's file." predictor:"file"`
 	Watch *time.Duration `help:"For how long it is undone if health worsens; 0 keeps it at once. Without it what the file says."`
 	Again bool           `help:"Also if it was undone before."`
 	Alone bool           `help:"At this gateway alone, where the operator's file has changes go to all."`
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -32,6 +32,7 @@
 	Generation rollout.Generation `json:",omitempty"`
 	Findings   []string           `json:",omitempty"`
 	Problem    string             `json:",omitempty"`
+	Text       string             `json:",omitempty"` // of the generation in force
 	Status     *rollout.Status    `json:",omitempty"`
 	Spread     *gateway.Spread    `json:",omitempty"`
 }
@@ -126,6 +127,10 @@
 	})
 	mux.HandleFunc("POST /keep", func(w http.ResponseWriter, r *http.Request) { answer(w, Reply{}, g.Keep(r.Context())) })
 	mux.HandleFunc("POST /undo", func(w http.ResponseWriter, r *http.Request) { answer(w, Reply{}, g.Undo(r.Context())) })
+	mux.HandleFunc("GET /text", func(w http.ResponseWriter, r *http.Request) {
+		no, text, err := g.InForce(r.Context())
+		answer(w, Reply{Generation: no, Text: string(text)}, err)
+	})
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) {
 		s, err := g.Status(r.Context())
 		if err != nil {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"magpieglade/routes"
 )
 
 // Each mistake is told with file, line and column, and the way out; all of a file's at once.
@@ -120,3 +123,36 @@
 		}
 	})
 }
+
+// Whatever a document says, the checks end, each finding is worded, and a table that passes answers for any txn.
+func FuzzDocument(f *testing.F) {
+	text, _ := os.ReadFile("../../deploy/operator.hcl")
+	f.Add(string(text), "portal", "10.1.2.3")
+	f.Add(routed, "portal", "10.1.2.3")
+	f.Add("route \"a\" { networks = [\"0.0.0.0/0\", \"10.0.0.0/32\"] }\nroute \"b\" { users = [\"u\", \"u\"] }", "u", "::1")
+	w := &routes.World{Zones: []string{"a"}, Types: []routes.Type{{Name: "session", HardLimit: 1e9, Effect: "repeatable", Need: "causal"}},
+		Groups: map[int][]routes.Host{0: {{Name: "m1", Zone: "a"}, {Name: "m2", Zone: "a"}}}}
+	f.Fuzz(func(t *testing.T, text, user, client string) {
+		d, err := Document([]byte(text), "o")
+		if err != nil || d == nil {
+			return
+		}
+		table, findings := routes.Compile(d, w)
+		for _, x := range findings {
+			if x.What == "" || x.Way == "" {
+				t.Fatalf("%+v", x)
+			}
+		}
+		if table == nil {
+			return
+		}
+		x := routes.Txn{User: user}
+		x.Client, _ = netip.ParseAddr(client)
+		a := table.Lookup(&x)
+		if a.Route >= int32(len(d.Routes)) || a.Tenant >= int32(len(d.Tenants)) || !table.Admits(-1, 7) || table.TenantOf(x) >= int32(len(d.Tenants)) {
+			t.Fatalf("%+v", a)
+		}
+		why, _ := routes.NewShares(table, 0).May(a.Tenant, 1, 1)
+		_ = why.String()
+	})
+}
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -308,3 +308,74 @@
 		t.Fatal(few, many, lasting)
 	}
 }
+
+// A process that ends at any single point of a change, between any two decisions, starts with the last kept one as it was
+// last saved; what was watched then is not applied again by itself; and no change is in force that a restart would not
+// know of.
+func TestEndsAtEachPoint(t *testing.T) {
+	// Each script proposes 1, which is kept at once, then 2 with what becomes of it.
+	scripts := map[string]func(r *Rollout){
+		"kept by hand":   func(r *Rollout) { _ = r.KeepNow() },
+		"undone by hand": func(r *Rollout) { _ = r.UndoNow() },
+		"replaced":       func(r *Rollout) { _ = r.Propose(Change{Generation: 3, Digest: 3, Watch: 1e9}) },
+		"held, kept":     func(r *Rollout) { _, _ = r.KeepNow(), r.KeepBy(ByFleet) },
+		"held, undone":   func(r *Rollout) { _, _ = r.KeepNow(), r.UndoBy(ByFleet, 2, "") },
+		"by its watch":   func(r *Rollout) { r.Clock(1e12) },
+	}
+	points := 0
+	for name, script := range scripts {
+		for stop := 0; ; stop++ {
+			r, n := New(State{}), 0
+			var saved State // what is on the disk
+			var inForce Generation
+			ended := false
+			pull := func() {
+				for !ended {
+					d, ok := r.Next()
+					if !ok {
+						return
+					}
+					if ended = n == stop; ended { // before this one is carried out
+						return
+					}
+					n++
+					switch d.Kind {
+					case Save:
+						saved = r.State()
+					case Apply, Undo:
+						inForce = d.Generation
+					}
+					if d.Kind == Apply && inForce != saved.Watching && inForce != 1 { // 1 has no watch
+						t.Fatalf("%s: %d is in force, and a restart knows of %d and %d", name, inForce, saved.Kept, saved.Watching)
+					}
+				}
+			}
+			r.Clock(1e9)
+			_ = r.Propose(Change{Generation: 1, Digest: 1})
+			pull()
+			_ = r.Propose(Change{Generation: 2, Digest: 2, Watch: 1e9, Held: name[0] == 'h'})
+			pull()
+			if !ended {
+				script(r)
+				pull()
+			}
+			again := New(saved)
+			again.Clock(2e9)
+			for d, ok := again.Next(); ok; d, ok = again.Next() {
+				if d.Kind == Apply {
+					t.Fatalf("%s, ended at %d: %d is applied again", name, stop, d.Generation)
+				}
+			}
+			s := again.Status()
+			if s.InForce != saved.Kept || s.Stage != Settled || saved.Watching != 0 && again.Propose(Change{Generation: 9, Digest: saved.Digest}) == nil {
+				t.Fatalf("%s, ended at %d: %+v after %+v", name, stop, s, saved)
+			}
+			if points++; !ended {
+				break
+			}
+		}
+	}
+	if points < 40 {
+		t.Fatal(points)
+	}
+}
--- a/routes/check.go
+++ b/routes/check.go
@@ -232,6 +232,11 @@
 	left := map[int]bool{}
 	for _, id := range groups {
 		left[id] = slices.ContainsFunc(c.w.Groups[id], func(h Host) bool { return !barred[h.Name] && !h.Draining })
+		for _, h := range c.w.Groups[id] {
+			if h.Primary && barred[h.Name] && left[id] {
+				c.wrong(placeOf(c.d, h.Name), "Switch first.", "group %d is left without its primary %q: nothing can be written", id, h.Name)
+			}
+		}
 		if !left[id] && len(c.w.Groups[id]) > 0 && len(barred) > 0 {
 			c.wrong(firstPlace(c.d), "Leave it one, or take the group out of the list.", "group %d is left without a member", id)
 		}
@@ -254,6 +259,16 @@
 	}
 }
 
+// placeOf is where a member is named by hand.
+func placeOf(d *Document, name string) Place {
+	for _, m := range slices.Concat(d.Excluded, d.Drained) {
+		if m.Name == name {
+			return m.At
+		}
+	}
+	return Place{}
+}
+
 func firstPlace(d *Document) Place {
 	for _, list := range [...][]Member{d.Excluded, d.Drained} {
 		if len(list) > 0 {
--- a/routes/document.go
+++ b/routes/document.go
@@ -96,4 +96,5 @@
 type Host struct {
 	Name, Zone string
 	Draining   bool
+	Primary    bool // as far as is known now
 }
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -18,7 +18,7 @@
 	return &World{Zones: []string{"a", "b"}, Descriptors: 100,
 		Types: []Type{{"any", 1e9, "repeatable", "eventual", 0, 0}, {"bounded", 1e9, "repeatable", "lag_bound", 0, 0},
 			{"session", 1e9, "repeatable", "causal", 0, 0}, {"record", 2e9, "by_key", "mutate", 2e9, 0}, {"pay", 2e9, "once", "mutate", 0, 0}},
-		Groups: map[int][]Host{0: {{"p0", "a", false}, {"r0", "b", false}}, 1: {{"p1", "a", false}}}}
+		Groups: map[int][]Host{0: {{"p0", "a", false, true}, {"r0", "b", false, false}}, 1: {{"p1", "a", false, true}}}}
 }
 
 // matches is the plain reading of a route.
@@ -118,6 +118,7 @@
 		{Tenants: []Tenant{ten}},
 		{Excluded: []Member{{"p1", at}}},
 		{Drained: []Member{{"x", at}}},
+		{Drained: []Member{{"p0", at}}},
 		{Excluded: []Member{{"p0", at}}, Drained: []Member{{"r0", at}}, Routes: []Route{{Name: "r", At: at, Groups: []int{0}}}},
 	} {
 		table, findings := Compile(&d, world())
@@ -161,6 +162,7 @@
 	// document: warning: tenant "t" has no route: Name it in a route, or take it away.
 	// routes.hcl:3:1: group 1 is left without a member: Leave it one, or take the group out of the list.
 	// routes.hcl:3:1: warning: member "x" is not listed: It may come later; else take it away.
+	// routes.hcl:3:1: group 0 is left without its primary "p0": nothing can be written: Switch first.
 	// routes.hcl:3:1: group 0 is left without a member: Leave it one, or take the group out of the list.
 	// routes.hcl:3:1: route "r" is left without members: Name a group that has some.
 }
