--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -25,6 +25,8 @@
 	Config config `cmd:"" help:"Look at an operator's file."`
 	Ledger books  `cmd:"" help:"Look at the ledger of sessions' marks."`
 
+	Rehearse rehearsal `cmd:"" help:"Play days in which things go wrong, on a virtual clock or with real processes on loopback, and report."`
+
 	Measure measure `cmd:"" help:"Play and measure parts of the program."`
 
 	Completions kongplete.InstallCompletions `cmd:"" help:"Print what a shell needs to complete these commands: eval it, or put it where the shell starts."`
--- /dev/null
+++ b/rehearse/audit/service.go
@@ -0,0 +1,168 @@
+package audit
+
+import (
+	"math"
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Service is what clients had: value answered within the SLA time over value asked for, a client's tries counted once, by
+// the time at which the first was due.
+type Service struct {
+	Whole   float64
+	Worst10 float64 // of all spans of ten seconds, by halves of a second
+	Types   []TypeService
+	Seconds []float64 // of each second; NaN where nothing was asked
+	Asked   int       // txns, tries counted once
+	Tries   int
+}
+
+// TypeService is that of one txn type.
+type TypeService struct {
+	Name                            string
+	Service                         float64
+	Asked, Served, Declined, Rolled int
+	Unanswered                      int
+	P50, P90, P99, Worst            int64 // from due to served
+	ShareLate                       float64
+	histogram                       *hdrhistogram.Histogram
+	value, worth                    float64
+	late                            int
+}
+
+const (
+	slot      = int64(5e8)
+	slotsOf10 = 20
+)
+
+// Measure works the service out. Latencies count from when a try was due, whenever it was sent.
+func Measure(t Terms, l *Log) Service {
+	var s Service
+	for i := range t.Types {
+		s.Types = append(s.Types, TypeService{Name: t.Types[i].Name, histogram: hdrhistogram.New(1, 3_600_000_000, 3)})
+	}
+	type last struct {
+		answer Answer
+		ok     bool
+	}
+	answers := map[uint64]Answer{}
+	for _, x := range l.Answers {
+		if _, ok := answers[x.ID]; !ok {
+			answers[x.ID] = x
+		}
+	}
+	ends := map[uint64]last{} // of the first try's id: how its client's last try ended, or the one that was served
+	for i := range l.Asks {
+		x := &l.Asks[i]
+		if y, ok := answers[x.ID]; ok && !(ends[x.First].ok && ends[x.First].answer.Kind == Served) {
+			ends[x.First] = last{y, true}
+		}
+	}
+	var worth, got []float64
+	s.Tries = len(l.Asks)
+	for i := range l.Asks {
+		x := &l.Asks[i]
+		if x.ID != x.First {
+			continue
+		}
+		k, ts := &t.Types[x.Type], &s.Types[x.Type]
+		s.Asked++
+		ts.Asked++
+		n := int(max(0, x.Due) / slot)
+		for len(worth) <= n {
+			worth, got = append(worth, 0), append(got, 0)
+		}
+		value := 0.0
+		switch end := ends[x.First]; {
+		case !end.ok || end.answer.Kind == Cut:
+			ts.Unanswered++
+		case end.answer.Kind == Declined:
+			ts.Declined++
+		case end.answer.Kind == RolledBack:
+			ts.Rolled++
+		default:
+			took := end.answer.At - x.Due
+			_ = ts.histogram.RecordValue(max(1, took/1000))
+			ts.Served++
+			value = k.Worth
+			if took > k.Aim {
+				ts.late++
+				value *= k.LateValue
+			}
+		}
+		worth[n] += k.Worth
+		got[n] += value
+		ts.worth += k.Worth
+		ts.value += value
+	}
+	all, had := 0.0, 0.0
+	s.Worst10 = 1
+	for i := range worth {
+		all, had = all+worth[i], had+got[i]
+		if i+1 >= slotsOf10 {
+			w, g := sum(worth[i+1-slotsOf10:i+1]), sum(got[i+1-slotsOf10:i+1])
+			if w > 0 {
+				s.Worst10 = min(s.Worst10, g/w)
+			}
+		}
+		if i%2 == 1 || i == len(worth)-1 {
+			w, g := sum(worth[i&^1:i+1]), sum(got[i&^1:i+1])
+			s.Seconds = append(s.Seconds, g/w) // NaN where nothing was asked
+		}
+	}
+	s.Whole = ratio(had, all)
+	if len(worth) < slotsOf10 {
+		s.Worst10 = s.Whole
+	}
+	for i := range s.Types {
+		ts := &s.Types[i]
+		ts.Service = ratio(ts.value, ts.worth)
+		ts.P50, ts.P90 = ts.histogram.ValueAtQuantile(50)*1000, ts.histogram.ValueAtQuantile(90)*1000
+		ts.P99, ts.Worst = ts.histogram.ValueAtQuantile(99)*1000, ts.histogram.Max()*1000
+		if ts.Served > 0 {
+			ts.ShareLate = float64(ts.late) / float64(ts.Served)
+		}
+	}
+	return s
+}
+
+// WorstType is the txn type with the least service of those that were asked for.
+func (s *Service) WorstType() (name string, service float64) {
+	service = 1
+	for i := range s.Types {
+		if t := &s.Types[i]; t.Asked > 0 && (name == "" || t.Service < service) {
+			name, service = t.Name, t.Service
+		}
+	}
+	return name, service
+}
+
+// Quantiles gives a type's latencies at some quantiles, in nanoseconds.
+func (t *TypeService) Quantiles(at []float64) (all []int64) {
+	for _, q := range at {
+		all = append(all, t.histogram.ValueAtQuantile(q)*1000)
+	}
+	return all
+}
+
+// Sorted gives the seconds from the worst, without those in which nothing was asked.
+func (s *Service) Sorted() []float64 {
+	all := slices.DeleteFunc(slices.Clone(s.Seconds), math.IsNaN)
+	slices.Sort(all)
+	return all
+}
+
+func sum(all []float64) (x float64) {
+	for _, v := range all {
+		x += v
+	}
+	return x
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 1
+	}
+	return a / b
+}
--- /dev/null
+++ b/rehearse/results/results.go
@@ -0,0 +1,187 @@
+// Package results writes what came of rehearsals: lines of JSON, CSV, and one HTML page that needs nothing beside it.
+package results
+
+import (
+	"bytes"
+	"embed"
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/wcharczuk/go-chart/v2"
+	"github.com/wcharczuk/go-chart/v2/drawing"
+
+	"magpieglade/rehearse"
+	"magpieglade/rehearse/audit"
+)
+
+//go:embed report.html
+var page embed.FS
+
+// Write writes a folder of results: report.html, seconds.csv, members.csv, types.csv, broken.jsonl.
+func Write(folder string, r *rehearse.Report) error {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	for name, write := range map[string]func(io.Writer, *rehearse.Report) error{
+		"report.html": HTML, "seconds.csv": seconds, "members.csv": members, "types.csv": types, "broken.jsonl": broken} {
+		var out bytes.Buffer
+		if err := write(&out, r); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		if err := os.WriteFile(filepath.Join(folder, name), out.Bytes(), 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func number(x float64) string { return strconv.FormatFloat(x, 'f', 4, 64) }
+
+func seconds(out io.Writer, r *rehearse.Report) error {
+	w := csv.NewWriter(out)
+	_ = w.Write([]string{"second", "service"})
+	for i, x := range r.Service.Seconds {
+		text := number(x)
+		if math.IsNaN(x) {
+			text = ""
+		}
+		_ = w.Write([]string{strconv.Itoa(i), text})
+	}
+	w.Flush()
+	return w.Error()
+}
+
+func members(out io.Writer, r *rehearse.Report) error {
+	w := csv.NewWriter(out)
+	_ = w.Write([]string{"member", "reads", "writes", "repeats", "missed", "busy"})
+	for _, p := range r.Places {
+		_ = w.Write([]string{p.Name, strconv.Itoa(p.Reads), strconv.Itoa(p.Writes), strconv.Itoa(p.Repeats), strconv.Itoa(p.Missed), number(p.Busy)})
+	}
+	w.Flush()
+	return w.Error()
+}
+
+func types(out io.Writer, r *rehearse.Report) error {
+	w := csv.NewWriter(out)
+	_ = w.Write([]string{"type", "service", "asked", "served", "late", "declined", "rolled_back", "unanswered", "p50_ms", "p90_ms", "p99_ms", "worst_ms"})
+	for i := range r.Service.Types {
+		t := &r.Service.Types[i]
+		_ = w.Write([]string{t.Name, number(t.Service), strconv.Itoa(t.Asked), strconv.Itoa(t.Served), number(t.ShareLate), strconv.Itoa(t.Declined),
+			strconv.Itoa(t.Rolled), strconv.Itoa(t.Unanswered), millis(t.P50), millis(t.P90), millis(t.P99), millis(t.Worst)})
+	}
+	w.Flush()
+	return w.Error()
+}
+
+func broken(out io.Writer, r *rehearse.Report) error {
+	e := json.NewEncoder(out)
+	for _, v := range r.Violations {
+		if err := e.Encode(v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func millis(ns int64) string { return strconv.FormatFloat(float64(ns)/1e6, 'f', 1, 64) }
+
+// HTML writes the page.
+func HTML(out io.Writer, r *rehearse.Report) error {
+	t, err := template.New("report.html").Funcs(template.FuncMap{
+		"three": func(x float64) string { return strconv.FormatFloat(x, 'f', 3, 64) },
+		"share": func(x float64) string { return strconv.FormatFloat(100*x, 'f', 1, 64) + " %" },
+		"ms":    millis,
+		"span":  func(ns int64) string { return time.Duration(ns).String() },
+	}).ParseFS(page, "report.html")
+	if err != nil {
+		return err
+	}
+	service, err := serviceChart(r)
+	if err != nil {
+		return err
+	}
+	latency, err := latencyChart(r)
+	if err != nil {
+		return err
+	}
+	type rule struct {
+		Name   string
+		Broken int
+	}
+	var rules []rule
+	for _, name := range audit.Rules {
+		n := 0
+		for _, v := range r.Violations {
+			if v.Rule == name {
+				n++
+			}
+		}
+		rules = append(rules, rule{name, n})
+	}
+	worst, x := r.Service.WorstType()
+	return t.Execute(out, map[string]any{"R": r, "Service": service, "Latency": latency, "Rules": rules, "Worst": worst, "WorstService": x,
+		"First": r.Violations[:min(len(r.Violations), 20)]})
+}
+
+// serviceChart draws the service of each second, with what went wrong as lines of its own dashes: no colour is needed.
+func serviceChart(r *rehearse.Report) (template.HTML, error) {
+	line := chart.ContinuousSeries{Name: "service", Style: chart.Style{StrokeColor: drawing.ColorBlack, StrokeWidth: 2}}
+	for i, x := range r.Service.Seconds {
+		if !math.IsNaN(x) {
+			line.XValues, line.YValues = append(line.XValues, float64(i)), append(line.YValues, x)
+		}
+	}
+	if len(line.XValues) < 2 {
+		return "", nil
+	}
+	all := []chart.Series{line}
+	for i, m := range r.Marks {
+		from, to := float64(m.At)/1e9, float64(m.At+m.For)/1e9
+		y := 0.03 + 0.06*float64(i%5)
+		all = append(all, chart.ContinuousSeries{XValues: []float64{from, max(to, from+0.2)}, YValues: []float64{y, y},
+			Style: chart.Style{StrokeColor: drawing.ColorBlack, StrokeWidth: 5, StrokeDashArray: []float64{2, 2 + 3*float64(i%4)}}},
+			chart.AnnotationSeries{Annotations: []chart.Value2{{XValue: from, YValue: y, Label: strconv.Itoa(i + 1)}}})
+	}
+	return draw(chart.Chart{Width: 900, Height: 320, Series: all,
+		XAxis: chart.XAxis{Name: "second"}, YAxis: chart.YAxis{Name: "service", Range: &chart.ContinuousRange{Min: 0, Max: 1.02}}})
+}
+
+// latencyChart draws each txn type's latencies by quantile, from due to served.
+func latencyChart(r *rehearse.Report) (template.HTML, error) {
+	at := []float64{5, 10, 20, 30, 40, 50, 60, 70, 80, 90, 95, 99}
+	var all []chart.Series
+	for i := range r.Service.Types {
+		t := &r.Service.Types[i]
+		if t.Served == 0 {
+			continue
+		}
+		line := chart.ContinuousSeries{Name: t.Name, Style: chart.Style{StrokeColor: drawing.ColorBlack, StrokeWidth: 2, StrokeDashArray: []float64{8, 1 + 4*float64(i)}}}
+		for k, ns := range t.Quantiles(at) {
+			line.XValues, line.YValues = append(line.XValues, at[k]), append(line.YValues, float64(ns)/1e6)
+		}
+		last := len(at) - 1
+		all = append(all, line, chart.AnnotationSeries{Annotations: []chart.Value2{{XValue: line.XValues[last], YValue: line.YValues[last], Label: t.Name}}})
+	}
+	if len(all) == 0 {
+		return "", nil
+	}
+	return draw(chart.Chart{Width: 900, Height: 320, Series: all, XAxis: chart.XAxis{Name: "percent of the served"}, YAxis: chart.YAxis{Name: "ms"}})
+}
+
+func draw(c chart.Chart) (template.HTML, error) {
+	var out bytes.Buffer
+	if err := c.Render(chart.SVG, &out); err != nil {
+		return "", err
+	}
+	// Its size is the page's.
+	svg := bytes.Replace(out.Bytes(), []byte(`width="900" height="320"`), []byte(`viewBox="0 0 900 320" role="img"`), 1)
+	return template.HTML(svg), nil // made here, of numbers and of names that the chart escapes
+}
--- /dev/null
+++ b/rehearse/run.go
@@ -0,0 +1,116 @@
+package rehearse
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"magpieglade/rehearse/audit"
+)
+
+func sortIDs(ids []uint64) { slices.Sort(ids) }
+
+// Report is what came of a day.
+type Report struct {
+	Scenario   *Scenario
+	Clock      string // "simulated" or "real"
+	Service    audit.Service
+	Violations []audit.Violation
+	Marks      []Mark
+	Places     []Place // by member
+	Reads      map[string]float64
+	Events     int    // of the simulation
+	Mark       uint64 // the same for the same trace
+	Took       time.Duration
+	Lines      []string // what was said on the way
+	Left       []string // faults that this clock does not play
+	Failed     []string // expectations that were not met
+}
+
+// Place is what a member did.
+type Place struct {
+	Name                           string
+	Reads, Writes, Repeats, Missed int
+	Busy                           float64 // share of its cores, warm
+}
+
+// Simulate plays a scenario on a virtual clock.
+func Simulate(s *Scenario, watch func(Progress)) (*Report, error) {
+	began := time.Now()
+	w, err := newWorld(s, watch)
+	if err != nil {
+		return nil, err
+	}
+	w.play()
+	r := report(s, &w.log, begin, 10e6)
+	r.Clock, r.Events, r.Mark, r.Marks, r.Lines, r.Took = "simulated", w.events, w.mark(), w.marks, w.lines, time.Since(began)
+	return r, nil
+}
+
+// report works a log out; its times count from a start.
+func report(s *Scenario, l *audit.Log, start, slack int64) *Report {
+	t := s.terms(slack)
+	shifted := *l
+	shifted.Asks = slices.Clone(l.Asks)
+	for i := range shifted.Asks {
+		shifted.Asks[i].Due -= start
+	}
+	shifted.Answers = slices.Clone(l.Answers)
+	for i := range shifted.Answers {
+		shifted.Answers[i].At -= start
+	}
+	r := &Report{Scenario: s, Service: audit.Measure(t, &shifted), Violations: audit.Check(t, l), Reads: map[string]float64{}}
+	for _, name := range l.Names {
+		r.Places = append(r.Places, Place{Name: name})
+	}
+	reads := 0
+	primary := map[int]bool{}
+	for _, w := range l.Works {
+		p := &r.Places[w.Member]
+		switch w.Kind {
+		case audit.Wrote:
+			p.Writes++
+			primary[w.Member] = true
+		case audit.Repeat:
+			p.Repeats++
+		case audit.Read:
+			p.Reads++
+			reads++
+		case audit.Missed:
+			p.Missed++
+		}
+		if w.Kind != audit.Missed {
+			p.Busy += float64(w.Cost)
+		}
+	}
+	for i := range r.Places {
+		p := &r.Places[i]
+		p.Busy /= float64(s.Length) * float64(l.Cores[i])
+		where := "replicas"
+		if primary[i] {
+			where = "members that wrote"
+		}
+		if reads > 0 {
+			r.Reads[where] += float64(p.Reads) / float64(reads)
+		}
+	}
+	r.expect()
+	return r
+}
+
+// expect names the expectations that were not met.
+func (r *Report) expect() {
+	e := &r.Scenario.Expect
+	short := func(what string, got, want float64) {
+		if want >= 0 && got < want {
+			r.Failed = append(r.Failed, fmt.Sprintf("%s is %.3f, expected at least %.3f", what, got, want))
+		}
+	}
+	short("service", r.Service.Whole, e.Service)
+	short("the worst ten seconds' service", r.Service.Worst10, e.Worst10)
+	name, worst := r.Service.WorstType()
+	short("the service of "+name, worst, e.WorstType)
+	if e.Rules && len(r.Violations) > 0 {
+		r.Failed = append(r.Failed, fmt.Sprintf("%d broken rules", len(r.Violations)))
+	}
+}
--- /dev/null
+++ b/rehearse/scenario.go
@@ -0,0 +1,244 @@
+package rehearse
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"magpieglade/rehearse/audit"
+)
+
+// Scenario is a day to be played: a fleet, its traffic, what goes wrong, and what is expected of it. Times are nanoseconds.
+type Scenario struct {
+	Name, About string
+	Length      int64
+	Seed        uint64
+	Gateways    int
+	Zones       []string
+	Groups      []GroupPlan
+	Network     NetworkPlan
+	Types       []TypePlan
+	Traffic     TrafficPlan
+	Faults      []Fault
+	Random      []RandomFaults
+	Expect      Expectation
+	Policy      string // how reads are placed: "decide", or a baseline
+}
+
+// Policies of a scenario: the module itself, or with what it is told changed so that it does as a simpler gateway would.
+const (
+	ByModule  = "decide"
+	AllOnMain = "all to primary"
+	NoTokens  = "least loaded"
+)
+
+// Policies are all of them.
+var Policies = []string{ByModule, AllOnMain, NoTokens}
+
+// GroupPlan is a primary and its replicas.
+type GroupPlan struct {
+	Members     int
+	Cores       int
+	Lag         int64 // of shipping
+	Apply       int64 // of one commit, one after another
+	Sync        bool  // a commit outlives its primary
+	Detect      int64 // until a primary that is gone is replaced
+	HandOver    int64 // without a primary when it is moved
+	Connections int   // that a member takes
+	Handshake   int64
+	Thrash      int     // queries at a member past which each makes all of them slower
+	Hold        int64   // that a replica waits for a position
+	Cold        int64   // that a member is cold after its start
+	ColdFrom    float64 // of its speed at first
+	Fall        float64 // multiple of what it can do at which a cold member falls over
+	Restart     int64   // that this takes
+}
+
+// NetworkPlan has ways of one message.
+type NetworkPlan struct {
+	Near, Far int64 // mean, within a zone and between two
+	Loss      float64
+}
+
+// TypePlan is a txn type: what the platform says of it, and what it asks of databases.
+type TypePlan struct {
+	audit.Type
+	Cost   int64 // mean service time on a warm core
+	Spread string
+	Share  float64 // of the txns
+}
+
+// Spreads of service times.
+const (
+	Fixed       = "fixed"
+	Exponential = "exponential"
+	Lognormal   = "lognormal"
+)
+
+// TrafficPlan is what clients send, in time whatever comes back.
+type TrafficPlan struct {
+	Rate     float64 // first tries a second
+	Sessions int
+	Roam     float64 // share of txns at another gateway than the session's own
+	Swing    float64 // of a wave, as a share of the rate
+	Period   int64
+	Jumps    []Jump
+	Retry    bool
+}
+
+// Jump multiplies the rate for a while.
+type Jump struct {
+	At, For int64
+	Times   float64
+}
+
+// Fault is one thing that goes wrong.
+type Fault struct {
+	Kind    string
+	At, For int64
+	Member  string // by name: the group's number and the member's, as "0.1"
+	Gateway int
+	Zone    string
+	Group   int
+	Factor  float64
+	Lag     int64
+}
+
+// Faults are the kinds, with what each needs.
+var Faults = map[string][]string{
+	"crash":        {"member"},           // its process ends, and starts cold after the span
+	"pause":        {"member"},           // it takes all and answers nothing
+	"slow":         {"member", "factor"}, // each query takes this many times as long
+	"lag":          {"member", "lag"},    // it applies this much later
+	"drain":        {"member"},           // the list says so
+	"errors":       {"member", "factor"}, // this share of its answers are errors
+	"answers_lost": {"member", "factor"}, // this share of its connections break after the work is done
+	"move":         {"member"},           // it is made the primary of its group
+	"cut":          {"zone"},             // nothing passes between it and others
+	"list":         {},                   // the list service is out of reach
+	"kill":         {"gateway"},          // its process ends, and starts from nothing after the span
+}
+
+// RandomFaults come by chance.
+type RandomFaults struct {
+	Every, For int64
+	Kinds      []string
+	Factor     float64
+	Lag        int64
+}
+
+// Expectation is what a day must show; below 0 is nothing.
+type Expectation struct {
+	Service, Worst10, WorstType float64
+	Rules                       bool
+}
+
+// DefaultGroup is what a group has that a file does not say.
+func DefaultGroup() GroupPlan {
+	return GroupPlan{Members: 3, Cores: 4, Lag: 20e6, Apply: 100e3, Sync: true, Detect: 2e9, HandOver: 300e6, Connections: 200,
+		Handshake: 1e6, Thrash: 64, Hold: 20e6, Cold: 10e9, ColdFrom: 0.25, Fall: 2, Restart: 5e9}
+}
+
+// DefaultTypes are a portal's.
+func DefaultTypes() []TypePlan {
+	return []TypePlan{
+		{Type: audit.Type{Name: "search", Effect: "repeatable", Need: "eventual", Worth: 1, Aim: 300e6, Limit: 1e9}, Cost: 6e6, Spread: Exponential, Share: 0.4},
+		{Type: audit.Type{Name: "my-page", Effect: "repeatable", Need: "causal", Worth: 2, Aim: 300e6, Limit: 1e9}, Cost: 4e6, Spread: Exponential, Share: 0.35},
+		{Type: audit.Type{Name: "overview", Effect: "repeatable", Need: "lag_bound", Bound: 500e6, Worth: 1, Aim: 300e6, Limit: 1e9}, Cost: 5e6, Spread: Exponential, Share: 0.1},
+		{Type: audit.Type{Name: "record", Effect: "by_key", Need: "mutate", Window: 2e9, Worth: 4, LateValue: 0.3, Aim: 500e6, Limit: 2e9}, Cost: 3e6, Spread: Exponential, Share: 0.14},
+		{Type: audit.Type{Name: "pay", Effect: "once", Need: "mutate", Worth: 6, LateValue: 0.3, Aim: 500e6, Limit: 2e9}, Cost: 3e6, Spread: Exponential, Share: 0.01},
+	}
+}
+
+// Check names what is wrong that a reader of files can't see.
+func (s *Scenario) Check() error {
+	switch {
+	case s.Length <= 0 || s.Gateways < 1 || len(s.Groups) == 0 || len(s.Types) == 0 || len(s.Zones) == 0:
+		return fmt.Errorf("a scenario needs a length, gateways, zones, groups and txn types")
+	case s.Traffic.Rate <= 0 || s.Traffic.Sessions < 1:
+		return fmt.Errorf("traffic needs a rate and sessions")
+	case !slices.Contains(Policies, s.Policy):
+		return fmt.Errorf("unknown policy %q", s.Policy)
+	}
+	for i, f := range s.Faults {
+		if _, ok := Faults[f.Kind]; !ok {
+			return fmt.Errorf("fault %d: unknown kind %q", i+1, f.Kind)
+		}
+		if needs := Faults[f.Kind]; slices.Contains(needs, "member") {
+			if _, _, err := s.memberNamed(f.Member); err != nil {
+				return fmt.Errorf("fault %d: %w", i+1, err)
+			}
+		} else if slices.Contains(needs, "gateway") && (f.Gateway < 0 || f.Gateway >= s.Gateways) {
+			return fmt.Errorf("fault %d: no gateway %d", i+1, f.Gateway)
+		} else if slices.Contains(needs, "zone") && !slices.Contains(s.Zones, f.Zone) {
+			return fmt.Errorf("fault %d: no zone %q", i+1, f.Zone)
+		}
+	}
+	return nil
+}
+
+// memberNamed finds a member by its name.
+func (s *Scenario) memberNamed(name string) (group, member int, err error) {
+	if n, e := fmt.Sscanf(name, "%d.%d", &group, &member); n != 2 || e != nil || fmt.Sprintf("%d.%d", group, member) != name {
+		return 0, 0, fmt.Errorf("%q is no member: write 0.1 for the first replica of the first group", name)
+	}
+	if group < 0 || group >= len(s.Groups) || member < 0 || member >= s.Groups[group].Members {
+		return 0, 0, fmt.Errorf("there is no member %s", name)
+	}
+	return group, member, nil
+}
+
+// terms are what the auditor holds a run against; slack is for messages under way.
+func (s *Scenario) terms(slack int64) audit.Terms {
+	t := audit.Terms{Grace: 250e6, Slack: slack, OverloadFor: 1e9}
+	for _, x := range s.Types {
+		t.Types = append(t.Types, x.Type)
+	}
+	g := s.Groups[0]
+	t.Cold, t.ColdFrom, t.FallMultiple = g.Cold, g.ColdFrom, g.Fall
+	return t
+}
+
+// settings are what a gateway's module is told of the platform, for one zone.
+func (s *Scenario) settings(zone int) ([]byte, error) {
+	type m = map[string]any
+	millis := func(ns int64) float64 { return float64(ns) / 1e6 }
+	var classes []m
+	var needs []string
+	var bounds []float64
+	for _, t := range s.Types {
+		c := m{"name": t.Name, "effect": t.Effect, "promiseMs": millis(t.Aim), "hardLimitMs": millis(t.Limit), "worth": t.Worth,
+			"lateValue": t.LateValue}
+		if t.Effect == "by_key" {
+			c["group"], c["windowMs"] = "cell", millis(t.Window)
+			if t.AnyGroup {
+				c["group"] = "all"
+			}
+		}
+		classes = append(classes, c)
+		need, bound := t.Need, millis(t.Bound)
+		if need != "mutate" {
+			switch s.Policy {
+			case AllOnMain:
+				need = "strong"
+			case NoTokens:
+				need, bound = "eventual", 0
+			}
+		}
+		needs, bounds = append(needs, need), append(bounds, bound)
+	}
+	g := s.Groups[0]
+	return json.Marshal(m{
+		"classes": classes,
+		"familyInfo": m{"consistency": needs, "oldestDataMs": bounds, "whenBehind": "await", "writeMarks": "brought",
+			"roleInList": "none", "countedFromMs": 0, "waitMs": millis(g.Hold), "answersStamped": true},
+		"fleetSize": s.Gateways, "locality": zone, "membershipMode": "ask", "parties": []int{}, "tickMs": 5,
+		"limits": m{"cancelling": true, "maxAttempts": 8, "mayDuplicate": false, "probes": true, "retryAfter": true,
+			"connectTimeoutMs": millis(connectTimeout), "keepaliveMs": 15000, "maxRetryAfterMs": 1000},
+		"loadReport": m{"how": "answers", "fields": []string{"x0", "x1", "util"}},
+		"rules": m{"askWithinMs": 10000, "coldFrom": g.ColdFrom, "coldMs": millis(g.Cold), "drainGraceMs": 250,
+			"fallMultiple": g.Fall, "overloadForMs": 1000},
+		"machineTypes": []string{"m"}, "zones": s.Zones})
+}
+
+const connectTimeout = int64(250e6)
--- /dev/null
+++ b/rehearse/scenarios/calm.hcl
@@ -0,0 +1,6 @@
+about = "Nothing goes wrong."
+expect {
+  service    = 0.99
+  worst10    = 0.99
+  worst_type = 0.99
+}
--- /dev/null
+++ b/rehearse/scenarios/slow-apply.hcl
@@ -0,0 +1,17 @@
+about  = "All replicas apply slowly in turn; for a while none is current."
+length = "30s"
+fault "lag" {
+  at     = "5s"
+  for    = "10s"
+  member = "0.1"
+  lag    = "3s"
+}
+fault "lag" {
+  at     = "10s"
+  for    = "10s"
+  member = "0.2"
+  lag    = "3s"
+}
+expect {
+  service = 0.9
+}
--- /dev/null
+++ b/rehearse/world.go
@@ -0,0 +1,425 @@
+package rehearse
+
+import (
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"magpieglade/decide"
+	"magpieglade/rehearse/audit"
+)
+
+// Results of submissions, as the module words them.
+const (
+	committed   = int(decide.Committed)
+	failed      = int(decide.Failed)
+	full        = int(decide.Full)
+	timedOut    = int(decide.TimedOut)
+	unreachable = int(decide.Unreachable)
+	broken      = int(decide.Broken)
+	cancelled   = int(decide.Cancelled)
+	moot        = int(decide.Moot)
+	missed      = int(decide.Missed)
+)
+
+// world is a simulated day under way: one virtual clock, one agenda, one source of chance.
+type world struct {
+	s       *Scenario
+	rng     *rand.Rand
+	now     int64
+	turn    uint64
+	agenda  agenda
+	events  int
+	log     audit.Log
+	bases   []*database
+	groups  []*cluster
+	nodes   []*node
+	clients *people
+	cut     map[int]bool // zones
+	noList  bool
+	marks   []Mark
+	lines   []string // what was said, in order
+	watch   func(Progress)
+}
+
+// Mark is a time in a day at which something went wrong, for reports.
+type Mark struct {
+	At, For int64
+	Text    string
+}
+
+// Progress is how far a day is.
+type Progress struct {
+	At, Length int64
+	Asked      int
+	Served     int
+}
+
+func (w *world) after(span int64, do func()) {
+	w.turn++
+	w.agenda.push(happening{w.now + max(0, span), w.turn, do})
+}
+
+// way is how long a message takes between two zones.
+func (w *world) way(from, to int) int64 {
+	mean := w.s.Network.Near
+	if from != to {
+		mean = w.s.Network.Far
+	}
+	return int64(float64(mean) * (0.5 + w.rng.ExpFloat64()/2))
+}
+
+// send has something arrive elsewhere; what crosses the border of a zone that is cut off, or is lost, does not.
+func (w *world) send(from, to int, do func()) {
+	took := w.way(from, to)
+	if from != to && (w.cut[from] || w.cut[to]) || w.s.Network.Loss > 0 && w.rng.Float64() < w.s.Network.Loss {
+		return
+	}
+	w.after(took, do)
+}
+
+func (w *world) notice(n audit.Notice) {
+	n.At = w.now
+	w.log.Notices = append(w.log.Notices, n)
+}
+
+func (w *world) said(format string, a ...any) {
+	w.lines = append(w.lines, fmt.Sprintf("%8.1f ms  ", float64(w.now)/1e6)+fmt.Sprintf(format, a...))
+}
+
+// begin is where a day's clock starts: positions are times, and 0 is none.
+const begin = int64(60e9)
+
+// newWorld builds a scenario.
+func newWorld(s *Scenario, watch func(Progress)) (*world, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	w := &world{s: s, rng: rand.New(rand.NewPCG(s.Seed, 11)), now: begin, cut: map[int]bool{}, watch: watch}
+	for i, p := range s.Groups {
+		w.groups = append(w.groups, newCluster(w, i, p))
+	}
+	for i := range s.Gateways {
+		n := &node{w: w, no: i, zone: i % len(s.Zones)}
+		w.nodes = append(w.nodes, n)
+		if err := n.start(); err != nil {
+			return nil, err
+		}
+	}
+	w.clients = newPeople(w)
+	for _, f := range s.Faults {
+		w.plan(f)
+	}
+	for _, r := range s.Random {
+		w.planRandom(r)
+	}
+	if watch != nil {
+		w.tick()
+	}
+	return w, nil
+}
+
+func (w *world) tick() {
+	w.watch(Progress{At: w.now - begin, Length: w.s.Length, Asked: len(w.log.Asks), Served: w.clients.served})
+	w.after(1e9, w.tick)
+}
+
+// play runs the agenda to the day's end, and on until what is open then has been answered.
+func (w *world) play() {
+	end := begin + w.s.Length
+	longest := int64(0)
+	for _, t := range w.s.Types {
+		longest = max(longest, t.Limit)
+	}
+	w.after(w.s.Length, func() { w.clients.closed = true })
+	for len(w.agenda) > 0 && w.agenda[0].at <= end+longest+int64(1e9) {
+		h := w.agenda.pop()
+		w.now = h.at
+		w.events++
+		h.do()
+	}
+}
+
+func (w *world) planRandom(r RandomFaults) {
+	w.after(int64(w.rng.ExpFloat64()*float64(r.Every)), func() {
+		if w.now-begin+r.For < w.s.Length {
+			d := w.bases[w.rng.IntN(len(w.bases))]
+			f := Fault{Kind: r.Kinds[w.rng.IntN(len(r.Kinds))], At: w.now - begin, For: r.For, Member: d.name, Factor: r.Factor, Lag: r.Lag,
+				Gateway: w.rng.IntN(len(w.nodes)), Zone: w.s.Zones[w.rng.IntN(len(w.s.Zones))]}
+			w.plan(f)
+		}
+		w.planRandom(r)
+	})
+}
+
+// String words a fault for reports.
+func (f Fault) String() string {
+	text := f.Kind
+	for _, need := range Faults[f.Kind] {
+		switch need {
+		case "member":
+			text += " " + f.Member
+		case "gateway":
+			text += fmt.Sprint(" gateway ", f.Gateway)
+		case "zone":
+			text += " zone " + f.Zone
+		case "factor":
+			text += fmt.Sprintf(" %g", f.Factor)
+		case "lag":
+			text += " " + time.Duration(f.Lag).String()
+		}
+	}
+	return text
+}
+
+// plan has a fault come and go.
+func (w *world) plan(f Fault) {
+	var d *database
+	if slices.Contains(Faults[f.Kind], "member") {
+		g, m, _ := w.s.memberNamed(f.Member) // it was checked
+		d = w.groups[g].members[m]
+	}
+	w.marks = append(w.marks, Mark{f.At, f.For, f.String()})
+	from, to := f.At+begin-w.now, f.At+f.For+begin-w.now
+	both := func(on, off func()) {
+		w.after(from, func() { w.said("%s", f); on() })
+		if f.For > 0 {
+			w.after(to, off)
+		}
+	}
+	switch f.Kind {
+	case "crash":
+		both(func() { d.crash(f.For) }, func() {})
+	case "pause":
+		both(func() { d.paused = true }, func() {
+			if !d.paused {
+				return
+			}
+			d.paused = false
+			held := d.held
+			d.held = nil
+			for _, q := range held {
+				d.admit(q)
+			}
+		})
+	case "slow":
+		both(func() { d.slow = f.Factor }, func() { d.slow = 1 })
+	case "lag":
+		both(func() { d.reaches(); d.late = f.Lag }, func() { d.late = 0 })
+	case "drain":
+		both(func() { d.drained = true; w.relist() }, func() { d.drained = false; w.relist() })
+	case "errors":
+		both(func() { d.errors = f.Factor }, func() { d.errors = 0 })
+	case "answers_lost":
+		both(func() { d.lost = f.Factor }, func() { d.lost = 0 })
+	case "move":
+		both(func() { d.of.move(d) }, func() {})
+	case "cut":
+		z := slices.Index(w.s.Zones, f.Zone)
+		both(func() { w.cut[z] = true }, func() { delete(w.cut, z) })
+	case "list":
+		both(func() {
+			w.noList = true
+			for _, n := range w.nodes {
+				n.listLost()
+			}
+		}, func() { w.noList = false })
+	case "kill":
+		both(func() { w.nodes[f.Gateway].kill() }, func() { _ = w.nodes[f.Gateway].start() }) // it started before
+	}
+}
+
+// relist has the list service tell those that follow it.
+func (w *world) relist() {
+	if w.noList {
+		return
+	}
+	for _, n := range w.nodes {
+		if n.follows {
+			n.told()
+		}
+	}
+}
+
+// trace writes all that was seen, in an order that is the same for the same seed.
+func (w *world) trace(out io.Writer) {
+	for _, x := range w.log.Asks {
+		fmt.Fprintln(out, "ask", x)
+	}
+	for _, x := range w.log.Answers {
+		fmt.Fprintln(out, "answer", x)
+	}
+	for _, x := range w.log.Works {
+		fmt.Fprintln(out, "work", x)
+	}
+	for _, x := range w.log.Notices {
+		fmt.Fprintln(out, "notice", x)
+	}
+	for _, x := range w.lines {
+		fmt.Fprintln(out, x)
+	}
+}
+
+// mark is a number that is the same for the same trace.
+func (w *world) mark() uint64 {
+	h := fnv.New64a()
+	w.trace(h)
+	return h.Sum64()
+}
+
+// people are the clients: they send when it is due, whatever has come back.
+type people struct {
+	w        *world
+	ids      uint64
+	keys     uint64
+	sessions []person
+	closed   bool
+	served   int
+	sum      float64 // of the types' shares
+}
+
+// person is a session.
+type person struct {
+	written uint64 // the latest version that it has sent
+	told    uint64 // the latest that it was told
+	at      int64  // position of that, as its client carries it
+	writing bool
+}
+
+// wish is what a client wants, in one try or several.
+type wish struct {
+	first   uint64
+	kind    int
+	session int
+	key     uint64
+	version uint64
+	due     int64
+	tries   int
+}
+
+func newPeople(w *world) *people {
+	p := &people{w: w, sessions: make([]person, w.s.Traffic.Sessions)}
+	for _, t := range w.s.Types {
+		p.sum += t.Share
+	}
+	p.next()
+	return p
+}
+
+// rate is how many first tries a second are due now.
+func (p *people) rate() float64 { return p.w.s.Traffic.rateAt(p.w.now - begin) }
+
+func (t *TrafficPlan) rateAt(at int64) float64 {
+	rate := t.Rate
+	if t.Period > 0 {
+		rate *= 1 + t.Swing*math.Sin(2*math.Pi*float64(at)/float64(t.Period))
+	}
+	for _, j := range t.Jumps {
+		if at >= j.At && at < j.At+j.For {
+			rate *= j.Times
+		}
+	}
+	return rate
+}
+
+func (p *people) next() {
+	p.w.after(int64(p.w.rng.ExpFloat64()/max(0.001, p.rate())*1e9), func() {
+		if p.closed {
+			return
+		}
+		p.want()
+		p.next()
+	})
+}
+
+func (p *people) want() {
+	w := p.w
+	x := w.rng.Float64() * p.sum
+	kind := 0
+	for kind < len(w.s.Types)-1 && x >= w.s.Types[kind].Share {
+		x -= w.s.Types[kind].Share
+		kind++
+	}
+	t := &w.s.Types[kind]
+	who := w.rng.IntN(len(p.sessions))
+	if t.Need == "mutate" { // a session writes one thing at a time: its versions are in order
+		for range 20 {
+			if !p.sessions[who].writing {
+				break
+			}
+			who = w.rng.IntN(len(p.sessions))
+		}
+	}
+	wish := &wish{kind: kind, session: who, due: w.now}
+	if t.Need == "mutate" {
+		s := &p.sessions[who]
+		s.writing = true
+		s.written++
+		wish.version = s.written
+		if t.Effect == "by_key" {
+			p.keys++
+			wish.key = p.keys
+		}
+	}
+	p.try(wish)
+}
+
+// try sends a wish to a gateway.
+func (p *people) try(x *wish) {
+	w := p.w
+	t := &w.s.Types[x.kind]
+	s := &p.sessions[x.session]
+	p.ids++
+	x.tries++
+	id := p.ids
+	if x.first == 0 {
+		x.first = id
+	}
+	no := x.session % len(w.nodes)
+	if w.s.Traffic.Roam > 0 && w.rng.Float64() < w.s.Traffic.Roam {
+		no = w.rng.IntN(len(w.nodes))
+	}
+	for i := 0; i < len(w.nodes) && w.nodes[no].away(); i++ { // the front has seen that it is gone
+		no = (no + 1) % len(w.nodes)
+	}
+	n := w.nodes[no]
+	left := x.due + t.Limit - w.now
+	w.log.Asks = append(w.log.Asks, audit.Ask{ID: id, First: x.first, Session: uint64(x.session) + 1, Type: x.kind, Key: x.key, Version: x.version,
+		Owed: s.told, Due: x.due, At: w.now, Until: w.now + left, Gateway: no})
+	a := &asked{id: id, kind: x.kind, session: uint64(x.session) + 1, key: x.key, version: x.version, budget: left}
+	if t.Need == "causal" && s.at > 0 {
+		a.floor = s.at
+	}
+	a.answer = func(k audit.Kind, version uint64, position int64, again int64) {
+		p.answered(x, id, k, version, position, again)
+	}
+	w.after(w.way(n.zone, n.zone), func() { n.arrived(a) })
+}
+
+// answered is what a client makes of an answer: some come again, while there is time.
+func (p *people) answered(x *wish, id uint64, k audit.Kind, version uint64, position, again int64) {
+	w := p.w
+	w.log.Answers = append(w.log.Answers, audit.Answer{ID: id, At: w.now, Kind: k, Version: version})
+	t := &w.s.Types[x.kind]
+	s := &p.sessions[x.session]
+	if k == audit.Served {
+		p.served++
+		if t.Need == "mutate" {
+			s.writing = false
+			s.told = max(s.told, x.version)
+			s.at = max(s.at, position)
+		}
+		return
+	}
+	repeatable := t.Effect == "repeatable" || k == audit.Declined
+	pause := max(again, int64(20e6))
+	if w.s.Traffic.Retry && repeatable && x.tries < 5 && w.now+pause < x.due+t.Limit-int64(50e6) {
+		w.after(pause, func() { p.try(x) })
+		return
+	}
+	s.writing = false
+}
--- a/standin/front.go
+++ b/standin/front.go
@@ -67,6 +67,20 @@
 		fmt.Sprintf("INSERT INTO facts (code, data) VALUES ('%s', '%s') RETURNING data", c.Code, value))
 }
 
+// WriteAs and ReadAs do the same under an id of the caller's; an empty key is none.
+func (c *Client) WriteAs(id uint64, gateway int, key, value string) Answer {
+	more := "c=" + c.Class.Write
+	if key != "" {
+		more += ",k=" + key
+	}
+	return c.askAs(id, gateway, more, fmt.Sprintf("INSERT INTO facts (code, data) VALUES ('%s', '%s') RETURNING data", c.Code, value))
+}
+
+// ReadAs reads its session's value.
+func (c *Client) ReadAs(id uint64, gateway int) Answer {
+	return c.askAs(id, gateway, "c="+c.Class.Read, fmt.Sprintf("SELECT data FROM facts WHERE code = '%s'", c.Code))
+}
+
 // Read reads its session's value by a gateway.
 func (c *Client) Read(gateway int) Answer {
 	more := "c=" + c.Class.Read
@@ -94,7 +108,11 @@
 	}
 }
 
-func (c *Client) ask(gateway int, more, sql string) (a Answer) {
+func (c *Client) ask(gateway int, more, sql string) Answer {
+	return c.askAs(c.front.ids.Add(1), gateway, more, sql)
+}
+
+func (c *Client) askAs(id uint64, gateway int, more, sql string) (a Answer) {
 	began := time.Now()
 	defer func() { a.Took = time.Since(began) }()
 	// Longer than its own time, so that an answer that comes too late is seen as such.
@@ -108,7 +126,7 @@
 		}
 		c.conns[gateway] = conn
 	}
-	text := fmt.Sprintf("/* id=%016x,%s,d=%d,cluster=%d */ %s", c.front.ids.Add(1), more, c.Time.Milliseconds(), c.Group, sql)
+	text := fmt.Sprintf("/* id=%016x,%s,d=%d,cluster=%d */ %s", id, more, c.Time.Milliseconds(), c.Group, sql)
 	results, err := conn.Exec(ctx, text).ReadAll()
 	var told *pgconn.PgError
 	switch {
--- a/standin/member.go
+++ b/standin/member.go
@@ -31,7 +31,9 @@
 	hung  chan struct{} // closed once it goes on; nil while it runs
 	drain bool
 	delay time.Duration
-	drop  map[string]int // queries of a class that get no answer after their effect
+	cores chan struct{}                    // one for each query that is served at a time; nil is no bound
+	cost  func(class string) time.Duration // of a core's time, for a query of a class
+	drop  map[string]int                   // queries of a class that get no answer after their effect
 
 	utilization atomic.Int64 // in thousandths
 	queries     atomic.Int64
@@ -148,6 +150,13 @@
 	m.delay = by
 }
 
+// Serve has it serve so many queries at a time, each for a time by its class; the others wait.
+func (m *Member) Serve(cores int, cost func(class string) time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cores, m.cost = make(chan struct{}, cores), cost
+}
+
 // Swallow has so many next queries of a txn type carried out without an answer: the connection breaks instead.
 func (m *Member) Swallow(class string, n int) {
 	m.mu.Lock()
@@ -225,7 +234,7 @@
 	m.busy.Add(1)
 	defer m.busy.Add(-1)
 	m.mu.Lock()
-	hung, drain, delay := m.hung, m.drain, m.delay
+	hung, drain, delay, cores, cost := m.hung, m.drain, m.delay, m.cores, m.cost
 	m.mu.Unlock()
 	if hung != nil {
 		m.group.mu.Lock()
@@ -258,6 +267,11 @@
 		m.group.mu.Unlock()
 		return m.problem(b, "53300", "draining")
 	}
+	if cores != nil {
+		cores <- struct{}{}
+		delay += cost(names["c"])
+		defer func() { <-cores }()
+	}
 	time.Sleep(delay)
 	if head[2] == "INSERT" {
 		value := []byte{}
