--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -27,6 +27,9 @@
 
 	Rehearse rehearsal `cmd:"" help:"Play days in which things go wrong, on a virtual clock or with real processes on loopback, and report."`
 
+	Experiment experiments `cmd:"" help:"Play many days and compare variants, or search for the worst."`
+	Load       load        `cmd:"" help:"Drive gateways at some addresses with a scenario's traffic."`
+
 	Measure measure `cmd:"" help:"Play and measure parts of the program."`
 
 	Completions kongplete.InstallCompletions `cmd:"" help:"Print what a shell needs to complete these commands: eval it, or put it where the shell starts."`
--- a/internal/cli/rehearse.go
+++ b/internal/cli/rehearse.go
@@ -25,6 +25,8 @@
 	Scenario  string  `arg:"" default:"default" help:"A ready scenario's name, or a file that ends in .hcl." predictor:"file"`
 	Real      bool    `help:"With processes of this program on loopback sockets, in real time." xor:"clock"`
 	Simulated bool    `help:"On a virtual clock, in one process (as without a word)." xor:"clock"`
+	Both      bool    `help:"On both, and how far their figures are apart." xor:"clock"`
+	Watch     bool    `help:"A live view of a real day, on a terminal."`
 	Seed      *uint64 `help:"Of chance, in the place of the scenario's."`
 	Policy    string  `help:"How reads are placed, in the place of the scenario's: decide, \"all to primary\" or \"least loaded\"."`
 	Out       string  `help:"A folder for report.html, CSV and lines of JSON." type:"path" placeholder:"FOLDER"`
@@ -45,16 +47,17 @@
 		s.Policy = p.Policy
 	}
 	var r *rehearse.Report
-	if p.Real {
-		var program string
-		if program, err = os.Executable(); err == nil {
-			r, err = rehearse.Real(s, program, progress(p.JSON))
+	var simulated *rehearse.Report
+	if !p.Real {
+		if r, err = rehearse.Simulate(s, nil); err != nil {
+			return err
 		}
-	} else {
-		r, err = rehearse.Simulate(s, nil)
+		simulated = r
 	}
-	if err != nil {
-		return err
+	if p.Real || p.Both {
+		if r, err = p.inRealTime(s); err != nil {
+			return err
+		}
 	}
 	if p.Out != "" {
 		if err := results.Write(p.Out, r); err != nil {
@@ -72,6 +75,16 @@
 	if err != nil {
 		return err
 	}
+	if p.Both && !p.JSON {
+		table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+		fmt.Fprintln(table, "\n\tsimulated\treal\tdifference\t")
+		for _, d := range rehearse.Differences(simulated, r) {
+			fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%+.3f\t\n", d.What, d.One, d.Other, d.By)
+		}
+		if err := table.Flush(); err != nil {
+			return err
+		}
+	}
 	if p.Lines {
 		for _, l := range r.Lines {
 			fmt.Fprintln(out, l)
@@ -86,6 +99,18 @@
 	return nil
 }
 
+// inRealTime plays it with processes of this program.
+func (p *play) inRealTime(s *rehearse.Scenario) (r *rehearse.Report, err error) {
+	program, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	if !p.Watch {
+		return rehearse.Real(s, program, progress(p.JSON))
+	}
+	return watched(s, func(told func(rehearse.Progress)) (*rehearse.Report, error) { return rehearse.Real(s, program, told) })
+}
+
 // progress writes a line every few seconds of a real day.
 func progress(quiet bool) func(rehearse.Progress) {
 	return func(p rehearse.Progress) {
@@ -140,6 +165,9 @@
 	}
 	worst, x := r.Service.WorstType()
 	fmt.Fprintf(out, "\nservice %.3f, worst ten seconds %.3f, %s %.3f\n", r.Service.Whole, r.Service.Worst10, worst, x)
+	for _, f := range r.Left {
+		fmt.Fprintln(out, "not played in real time:", f)
+	}
 	for _, f := range r.Failed {
 		fmt.Fprintln(out, "not as expected:", f)
 	}
--- a/rehearse/audit/audit.go
+++ b/rehearse/audit/audit.go
@@ -350,7 +350,8 @@
 	}
 }
 
-// stale: a read shows what its session was told before it was sent, or all that is older than its bound.
+// stale: a read shows what its session was told before it was sent, or all that is older than its bound; or what was
+// committed after that, which may be an older wish whose client had given it up.
 func (a *auditor) stale() {
 	died := false
 	commits := map[uint64][]Work{} // of each session, in the order of time
@@ -373,16 +374,18 @@
 				continue
 			}
 			owed := uint64(0)
+			at := map[uint64]int{} // which commit a version was, counted from 1
+			for i, w := range commits[x.Session] {
+				at[w.Version] = i + 1
+				// Of a bound: but a commit that a member took with it was never there for others.
+				if need == "lag_bound" && !died && w.At < x.At-a.t.Types[x.Type].Bound-a.t.Slack {
+					owed = w.Version
+				}
+			}
 			if need == "causal" {
 				owed = x.Owed
-			} else if !died { // a commit that a member took with it was never there for others
-				for _, w := range commits[x.Session] {
-					if w.At < x.At-a.t.Types[x.Type].Bound-a.t.Slack {
-						owed = max(owed, w.Version)
-					}
-				}
 			}
-			if y.Version < owed {
+			if at[y.Version] < at[owed] {
 				a.broken(Stale, x.ID, y.At, "it shows version %d of session %d, and is owed %d", y.Version, x.Session, owed)
 			}
 		}
--- a/rehearse/audit/audit_test.go
+++ b/rehearse/audit/audit_test.go
@@ -68,6 +68,11 @@
 		}
 	})
 	plant("stale", func(l *Log) { l.Answers[3].Version = 0 })
+	plant("a later commit of an older version", func(l *Log) { // its client had given it up
+		l.Works = append([]Work{l.Works[0], {ID: 99, Session: 7, Version: 9, Kind: Wrote, At: 6e6}}, l.Works[1:]...)
+		l.Asks[1].Owed, l.Answers[1].Version = 1, 9
+		l.Asks[3].Owed, l.Answers[3].Version = 9, 9
+	})
 	plant("older than its bound", func(l *Log) {
 		l.Asks[4].At, l.Asks[4].Until, l.Answers[4].At, l.Answers[4].Version = 300e6, 1300e6, 310e6, 0
 	})
@@ -101,6 +106,7 @@
 	//   no cold server pushed over 4 r gets 2.2 times what it can do 41.0 ms after its start
 	// stale:
 	//   no stale read 4 it shows version 0 of session 7, and is owed 1
+	// a later commit of an older version:
 	// older than its bound:
 	//   no stale read 5 it shows version 0 of session 7, and is owed 1
 	// within its bound:
--- /dev/null
+++ b/rehearse/experiment/experiment.go
@@ -0,0 +1,348 @@
+// Package experiment plays scenarios many times: parameters times seeds times variants, paired by seed, as many at once as
+// the machine has cores, and says what differs and how surely. What was played is kept, so that an experiment that was
+// interrupted goes on where it stood.
+package experiment
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"sync"
+
+	"magpieglade/rehearse"
+)
+
+// Plan is an experiment.
+type Plan struct {
+	Scenarios  []*rehearse.Scenario
+	Seeds      int
+	Variants   []Variant
+	Parameters []Parameter
+}
+
+// Variant is one way of doing it: the first is what the others are held against.
+type Variant struct {
+	Name    string
+	Policy  string // empty is the scenario's
+	Program string // an earlier build of this program; empty is this one
+}
+
+// Parameter is a number of a scenario that takes several values.
+type Parameter struct {
+	Name   string
+	Values []float64
+}
+
+// Settable are the parameters, with how each is put into a scenario.
+var Settable = map[string]func(*rehearse.Scenario, float64){
+	"rate":     func(s *rehearse.Scenario, x float64) { s.Traffic.Rate = x },
+	"roam":     func(s *rehearse.Scenario, x float64) { s.Traffic.Roam = x },
+	"sessions": func(s *rehearse.Scenario, x float64) { s.Traffic.Sessions = int(x) },
+	"gateways": func(s *rehearse.Scenario, x float64) { s.Gateways = int(x) },
+	"loss":     func(s *rehearse.Scenario, x float64) { s.Network.Loss = x },
+	"far_ms":   func(s *rehearse.Scenario, x float64) { s.Network.Far = int64(x * 1e6) },
+	"lag_ms":   func(s *rehearse.Scenario, x float64) { each(s, func(g *rehearse.GroupPlan) { g.Lag = int64(x * 1e6) }) },
+	"hold_ms": func(s *rehearse.Scenario, x float64) {
+		each(s, func(g *rehearse.GroupPlan) { g.Hold = int64(x * 1e6) })
+	},
+	"cores": func(s *rehearse.Scenario, x float64) { each(s, func(g *rehearse.GroupPlan) { g.Cores = int(x) }) },
+}
+
+func each(s *rehearse.Scenario, f func(*rehearse.GroupPlan)) {
+	s.Groups = slices.Clone(s.Groups)
+	for i := range s.Groups {
+		f(&s.Groups[i])
+	}
+}
+
+// Run is one day that was played.
+type Run struct {
+	Scenario, Point, Variant string // Point is the values of the parameters
+	Seed                     uint64
+	Service, Worst10         float64
+	WorstType                float64
+	Broken                   int
+	Mark                     string
+}
+
+func (r *Run) key() string { return fmt.Sprint(r.Scenario, "|", r.Point, "|", r.Variant, "|", r.Seed) }
+
+// job is a day to be played.
+type job struct {
+	Run
+	s *rehearse.Scenario
+	v *Variant
+}
+
+// jobs are all days of a plan.
+func (p *Plan) jobs() (all []job) {
+	points := []map[string]float64{{}}
+	for _, x := range p.Parameters {
+		var more []map[string]float64
+		for _, at := range points {
+			for _, v := range x.Values {
+				next := map[string]float64{x.Name: v}
+				for k, v := range at {
+					next[k] = v
+				}
+				more = append(more, next)
+			}
+		}
+		points = more
+	}
+	for _, s := range p.Scenarios {
+		for _, at := range points {
+			point := ""
+			for _, x := range p.Parameters {
+				point += fmt.Sprintf("%s=%g ", x.Name, at[x.Name])
+			}
+			for seed := range p.Seeds {
+				for i := range p.Variants {
+					v := &p.Variants[i]
+					day := *s
+					for _, x := range p.Parameters {
+						Settable[x.Name](&day, at[x.Name])
+					}
+					day.Seed = uint64(seed + 1)
+					if v.Policy != "" {
+						day.Policy = v.Policy
+					}
+					all = append(all, job{Run{Scenario: s.Name, Point: point, Variant: v.Name, Seed: day.Seed}, &day, v})
+				}
+			}
+		}
+	}
+	return all
+}
+
+// play plays one day.
+func (j *job) play() error {
+	if j.v.Program != "" {
+		return j.elsewhere()
+	}
+	r, err := rehearse.Simulate(j.s, nil)
+	if err != nil {
+		return err
+	}
+	j.Service, j.Worst10, j.Broken, j.Mark = r.Service.Whole, r.Service.Worst10, len(r.Violations), fmt.Sprintf("%016x", r.Mark)
+	_, j.WorstType = r.Service.WorstType()
+	return nil
+}
+
+// elsewhere has another build play it.
+func (j *job) elsewhere() error {
+	dir, err := os.MkdirTemp("", "experiment")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	file := filepath.Join(dir, "day.hcl")
+	if err := os.WriteFile(file, j.s.HCL(), 0o600); err != nil {
+		return err
+	}
+	cmd := exec.Command(j.v.Program, "rehearse", "run", file, "--json")
+	var problems bytes.Buffer
+	cmd.Stderr = &problems
+	out, err := cmd.Output() // status 1 is a day that was not as expected
+	var said struct {
+		Service, Worst10 float64
+		WorstType        float64 `json:"worst_type_service"`
+		Broken           int
+		Mark             string
+	}
+	if e := json.Unmarshal(out, &said); e != nil {
+		return fmt.Errorf("%s: %v %v: %s", j.v.Program, err, e, problems.String())
+	}
+	j.Service, j.Worst10, j.WorstType, j.Broken, j.Mark = said.Service, said.Worst10, said.WorstType, said.Broken, said.Mark
+	return nil
+}
+
+// Play plays what of a plan is not yet in a folder, and gives all of it in the plan's order. told is called after each day.
+func (p *Plan) Play(folder string, told func(done, all int)) ([]Run, error) {
+	if len(p.Variants) == 0 || len(p.Scenarios) == 0 || p.Seeds < 1 {
+		return nil, fmt.Errorf("an experiment needs scenarios, seeds and variants")
+	}
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, err
+	}
+	path := filepath.Join(folder, "runs.jsonl")
+	before, whole, err := recall(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.Truncate(path, whole); err != nil && !os.IsNotExist(err) { // half a line of one that was interrupted
+		return nil, err
+	}
+	file, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }()
+	jobs := p.jobs()
+	var mu sync.Mutex
+	var first error
+	done := 0
+	next := make(chan *job)
+	var wg sync.WaitGroup
+	for range min(runtime.GOMAXPROCS(0), len(jobs)) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for j := range next {
+				err := j.play()
+				mu.Lock()
+				if err == nil {
+					var line []byte
+					if line, err = json.Marshal(j.Run); err == nil {
+						_, err = file.Write(append(line, '\n'))
+					}
+				}
+				if err != nil && first == nil {
+					first = err
+				}
+				done++
+				if told != nil {
+					told(done, len(jobs))
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	for i := range jobs {
+		j := &jobs[i]
+		if r, ok := before[j.key()]; ok {
+			j.Run = r
+			mu.Lock()
+			done++
+			mu.Unlock()
+			continue
+		}
+		next <- j
+	}
+	close(next)
+	wg.Wait()
+	if first != nil {
+		return nil, first
+	}
+	var all []Run
+	for i := range jobs {
+		all = append(all, jobs[i].Run)
+	}
+	return all, nil
+}
+
+// recall reads what was played before, up to the last whole line.
+func recall(path string) (all map[string]Run, whole int64, err error) {
+	all = map[string]Run{}
+	text, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return all, 0, nil
+	} else if err != nil {
+		return nil, 0, err
+	}
+	for lines := bufio.NewReader(bytes.NewReader(text)); ; {
+		line, err := lines.ReadBytes('\n')
+		if err != nil {
+			return all, whole, nil
+		}
+		var r Run
+		if err := json.Unmarshal(line, &r); err != nil {
+			return nil, 0, fmt.Errorf("%s: byte %d: %w", path, whole, err)
+		}
+		all[r.key()] = r
+		whole += int64(len(line))
+	}
+}
+
+// Verdict is how a variant does against the first.
+type Verdict struct {
+	Scenario, Point, Variant string
+	Measure                  string
+	Mean, Than               float64 // of the variant, and of the first
+	Difference, Low, High    float64 // of the pairs, with the bounds within which it lies with 95%
+	Pairs                    int
+	Says                     string // "better", "worse" or "can't tell"
+}
+
+// Measures are what variants are compared by; more is better.
+var Measures = []struct {
+	Name string
+	Of   func(*Run) float64
+}{
+	{"service", func(r *Run) float64 { return r.Service }},
+	{"worst10", func(r *Run) float64 { return r.Worst10 }},
+	{"worst type", func(r *Run) float64 { return r.WorstType }},
+	{"rules", func(r *Run) float64 { return -float64(r.Broken) }},
+}
+
+// Compare compares each variant with the first, pair by pair of the same seed.
+func (p *Plan) Compare(runs []Run) (all []Verdict) {
+	by := map[string]*Run{}
+	type place struct{ scenario, point string }
+	var places []place
+	for i := range runs {
+		r := &runs[i]
+		by[r.key()] = r
+		if at := (place{r.Scenario, r.Point}); !slices.Contains(places, at) {
+			places = append(places, at)
+		}
+	}
+	for _, at := range places {
+		for _, v := range p.Variants[1:] {
+			for _, m := range Measures {
+				x := Verdict{Scenario: at.scenario, Point: at.point, Variant: v.Name, Measure: m.Name}
+				var differences []float64
+				for seed := range p.Seeds {
+					a := by[(&Run{Scenario: at.scenario, Point: at.point, Variant: p.Variants[0].Name, Seed: uint64(seed + 1)}).key()]
+					b := by[(&Run{Scenario: at.scenario, Point: at.point, Variant: v.Name, Seed: uint64(seed + 1)}).key()]
+					x.Mean, x.Than = x.Mean+m.Of(b), x.Than+m.Of(a)
+					differences = append(differences, m.Of(b)-m.Of(a))
+				}
+				n := float64(len(differences))
+				x.Pairs, x.Mean, x.Than = len(differences), x.Mean/n, x.Than/n
+				x.Difference, x.Low, x.High = Bootstrap(differences, 1)
+				switch {
+				case x.Low > 0:
+					x.Says = "better"
+				case x.High < 0:
+					x.Says = "worse"
+				default:
+					x.Says = "can't tell"
+				}
+				all = append(all, x)
+			}
+		}
+	}
+	return all
+}
+
+// resamples of a bootstrap. Ours: the bounds stand still to a hundredth of their span.
+const resamples = 4000
+
+// Bootstrap gives the mean of some numbers and the bounds within which it lies with 95%, by resampling (Efron 1979, the
+// percentile method). With fewer than five numbers nothing can be said: the bounds are infinite.
+func Bootstrap(all []float64, seed uint64) (mean, low, high float64) {
+	for _, x := range all {
+		mean += x / float64(len(all))
+	}
+	if len(all) < 5 {
+		return mean, math.Inf(-1), math.Inf(1)
+	}
+	rng := rand.New(rand.NewPCG(seed, 21))
+	means := make([]float64, resamples)
+	for i := range means {
+		for range all {
+			means[i] += all[rng.IntN(len(all))] / float64(len(all))
+		}
+	}
+	slices.Sort(means)
+	return mean, means[resamples*25/1000], means[resamples*975/1000]
+}
--- /dev/null
+++ b/rehearse/experiment/experiment_test.go
@@ -0,0 +1,139 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"magpieglade/rehearse"
+)
+
+func small(t testing.TB, name string) *rehearse.Scenario {
+	t.Helper()
+	s, err := rehearse.Find(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Length, s.Traffic.Rate = 8e9, 150
+	return s
+}
+
+// A scenario that is written is read as the same, and plays the same day.
+func TestWrittenIsRead(t *testing.T) {
+	for _, name := range rehearse.Names() {
+		s, err := rehearse.Find(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := rehearse.Parse(s.HCL(), name+".hcl")
+		if err != nil || !reflect.DeepEqual(s, again) {
+			t.Fatalf("%s: %v\n%+v\n%+v", name, err, s, again)
+		}
+	}
+}
+
+// A baseline that is worse is told to be, one that is the same is not told apart; and what was interrupted, in the middle
+// of a line, goes on to the very same result without playing again what was played.
+func TestVerdictsAndResumption(t *testing.T) {
+	p := &Plan{Scenarios: []*rehearse.Scenario{small(t, "jump")}, Seeds: 6,
+		Variants:   []Variant{{Name: "ours"}, {Name: "same", Policy: rehearse.ByModule}, {Name: "main", Policy: rehearse.AllOnMain}},
+		Parameters: []Parameter{{"rate", []float64{300, 900}}, {"cores", []float64{1}}}}
+	p.Scenarios[0].Traffic.Jumps = nil
+	folder := t.TempDir()
+	want, err := p.Play(folder, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	says := map[string]string{}
+	for _, v := range p.Compare(want) {
+		says[v.Point+v.Variant+" "+v.Measure] = v.Says
+	}
+	if says["rate=900 cores=1 main service"] != "worse" || says["rate=900 cores=1 same service"] != "can't tell" {
+		t.Fatal(says)
+	}
+	path := filepath.Join(folder, "runs.jsonl")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, text[:len(text)*2/3], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	before := strings.Count(string(text[:len(text)*2/3]), "\n")
+	played := 0
+	got, err := p.Play(folder, func(int, int) { played++ })
+	if err != nil || !reflect.DeepEqual(got, want) || played != len(want)-before {
+		t.Fatal(err, played, len(want), before, reflect.DeepEqual(got, want))
+	}
+}
+
+// The bounds hold the true mean nineteen times of twenty, and a few numbers tell nothing.
+func TestBootstrap(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	held := 0
+	for i := range 200 {
+		var all []float64
+		for range 30 {
+			all = append(all, 5+rng.NormFloat64())
+		}
+		if _, low, high := Bootstrap(all, uint64(i)); low <= 5 && 5 <= high {
+			held++
+		}
+	}
+	if held < 180 || held > 198 {
+		t.Error(held, "of 200")
+	}
+	if _, low, high := Bootstrap([]float64{1, 1, 1}, 1); !math.IsInf(low, -1) || !math.IsInf(high, 1) {
+		t.Error(low, high)
+	}
+}
+
+// A search ends with a day that is no longer than the one it found, has no more faults, and still shows the loss.
+func TestSearch(t *testing.T) {
+	s := small(t, "calm")
+	s.Length = 15e9
+	f, err := Search(s, rehearse.ByModule, "", 12, 1, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("lost %.3f of %d faults in %v ns, shrunk to %.3f of %d faults in %v ns, %d days", f.Loss, len(f.Day.Faults), f.Day.Length, f.ShrunkTo, len(f.Shrunk.Faults), f.Shrunk.Length, f.Played)
+	if f.Loss <= 0 || f.ShrunkTo < shrinkPart*f.Loss || len(f.Shrunk.Faults) > len(f.Day.Faults) || f.Shrunk.Length > f.Day.Length ||
+		len(f.Shrunk.Faults) == len(f.Day.Faults) && f.Shrunk.Length == f.Day.Length {
+		t.Fatalf("%+v", f)
+	}
+	again, err := Search(s, rehearse.ByModule, "", 12, 1, nil)
+	if err != nil || !reflect.DeepEqual(again, f) {
+		t.Fatal("another search of the same seed finds another day")
+	}
+}
+
+// What is wrong with an experiment's file is told with its place.
+func Example_wrong() {
+	dir, _ := os.MkdirTemp("", "x")
+	defer func() { _ = os.RemoveAll(dir) }()
+	path := filepath.Join(dir, "e.hcl")
+	for _, text := range []string{
+		"scenarios = [\"calm\"]\nseeds = 3\nvariant \"a\" {}\nvariant \"b\" {\n  policy = \"luck\"\n}",
+		"scenarios = [\"nowhere\"]\nseeds = 3\nvariant \"a\" {}",
+		"scenarios = [\"calm\"]\nseeds = 0\nvariant \"a\" {}",
+		"scenarios = [\"calm\"]\nseeds = 1\nvariant \"a\" {}\nparameter \"x\" {\n  values = [1]\n}",
+		"scenarios = [\"calm\"]\nsedes = 1",
+	} {
+		_ = os.WriteFile(path, []byte(text), 0o600)
+		_, err := Read(path)
+		said, _, _ := strings.Cut(strings.ReplaceAll(fmt.Sprint(err), dir+"/", ""), ": it is one of")
+		fmt.Println(said)
+	}
+	// Output:
+	// e.hcl:4:1: variant "b": unknown policy "luck"
+	// there is no ready scenario "nowhere"
+	// e.hcl: an experiment needs scenarios, seeds and variants
+	// e.hcl:4:1: parameter "x" is unknown or has no values
+	// e.hcl:1:1: Missing required argument: The argument "seeds" is required, but no definition was found.
+	// e.hcl:2:1: Unsupported argument: An argument named "sedes" is not expected here. Did you mean "seeds"?
+}
--- /dev/null
+++ b/rehearse/load.go
@@ -0,0 +1,269 @@
+package rehearse
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"magpieglade/rehearse/audit"
+	"magpieglade/standin"
+)
+
+// Load is what drives gateways at some addresses: a scenario's txn types and traffic, and nothing of its fleet.
+type Load struct {
+	Scenario  *Scenario
+	Addresses []string
+	Group     int    // that all txns name
+	Prefix    uint32 // of sessions' keys, so that two loads do not share them
+}
+
+// LoadReport is what came of it. Answers are all that is seen: effects, drains and cold members are not, so only the rules
+// of answers and of stale reads are audited.
+type LoadReport struct {
+	Service    audit.Service
+	Violations []audit.Violation
+	Late       *hdrhistogram.Histogram // microseconds between when a try was due and when it was sent
+	Took       time.Duration
+	Errors     map[string]int // of connections, by what they say
+}
+
+// Drive sends a scenario's traffic in open loop: what is due is sent, whatever has come back, and counts from when it was due.
+func Drive(l *Load, watch func(Progress)) (*LoadReport, error) {
+	s := l.Scenario
+	if len(l.Addresses) == 0 {
+		return nil, fmt.Errorf("there is no address")
+	}
+	began := time.Now()
+	d := newDriver(s, began)
+	// Another at each start: ids belong to one txn as long as it is open, and keys as long as databases remember them.
+	first := uint64(began.UnixNano()) << 16
+	d.ids.Store(first)
+	d.keys.Store(first)
+	d.prefix, d.group = l.Prefix, func(int) int { return l.Group }
+	for _, a := range l.Addresses {
+		d.doors = append(d.doors, &door{front: standin.NewFront(a)})
+	}
+	d.send(watch)
+	t := s.terms(250e6)
+	t.FallMultiple = 0
+	var kept []audit.Violation
+	for _, v := range audit.Check(t, &d.log) {
+		if v.Rule == audit.Lost || v.Rule == audit.Stale {
+			kept = append(kept, v)
+		}
+	}
+	return &LoadReport{Service: audit.Measure(t, &d.log), Violations: kept, Late: d.late, Took: time.Since(d.began), Errors: d.errors}, nil
+}
+
+// driver is a load under way.
+type driver struct {
+	s      *Scenario
+	prefix uint32
+	group  func(session int) int
+	doors  []*door
+	rng    *rand.Rand
+	began  time.Time
+	mu     sync.Mutex
+	people []person
+	log    audit.Log
+	late   *hdrhistogram.Histogram
+	errors map[string]int
+	ids    atomic.Uint64
+	keys   atomic.Uint64
+	served atomic.Int64
+	wg     sync.WaitGroup
+}
+
+// door is a gateway as clients reach it, with the connections that wait for the next txn.
+type door struct {
+	front  *standin.Front
+	mu     sync.Mutex
+	idle   []*standin.Client
+	downAt time.Time // of a process that was ended; not set while it runs
+}
+
+// mostIdle is how many connections a door keeps.
+const mostIdle = 1000
+
+func (o *door) client() *standin.Client {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if k := len(o.idle); k > 0 {
+		c := o.idle[k-1]
+		o.idle = o.idle[:k-1]
+		return c
+	}
+	return o.front.NewClient("", standin.Classes{})
+}
+
+func (o *door) back(c *standin.Client) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.downAt.IsZero() && len(o.idle) < mostIdle {
+		o.idle = append(o.idle, c)
+		return
+	}
+	c.Close()
+}
+
+// set says that its process runs or has ended.
+func (o *door) set(runs bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.idle, o.downAt = nil, time.Time{}
+	if !runs {
+		o.downAt = time.Now()
+	}
+}
+
+// away tells that the front has seen that it is down.
+func (o *door) away() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.downAt.IsZero() && time.Since(o.downAt) > 100*time.Millisecond
+}
+
+func newDriver(s *Scenario, began time.Time) *driver {
+	return &driver{s: s, began: began, people: make([]person, s.Traffic.Sessions), late: hdrhistogram.New(1, 60_000_000, 3), errors: map[string]int{},
+		rng: rand.New(rand.NewPCG(s.Seed, 13))}
+}
+
+func (d *driver) now() int64 { return int64(time.Since(d.began)) }
+
+// send sends what is due when it is due: who waits for an answer holds nobody else up.
+func (d *driver) send(watch func(Progress)) {
+	s := d.s
+	sum := 0.0
+	for _, t := range s.Types {
+		sum += t.Share
+	}
+	asked := 0
+	for next, shown := int64(0), int64(0); ; {
+		next += int64(d.rng.ExpFloat64() / max(0.001, s.Traffic.rateAt(next)) * 1e9)
+		if next >= s.Length {
+			break
+		}
+		time.Sleep(time.Until(d.began.Add(time.Duration(next))))
+		if watch != nil && next-shown > 1e9 {
+			shown = next
+			watch(Progress{At: next, Length: s.Length, Asked: asked, Served: int(d.served.Load())})
+		}
+		x := d.rng.Float64() * sum
+		kind := 0
+		for kind < len(s.Types)-1 && x >= s.Types[kind].Share {
+			x -= s.Types[kind].Share
+			kind++
+		}
+		w := &wish{kind: kind, session: d.rng.IntN(len(d.people)), due: next}
+		no := w.session % len(d.doors)
+		if d.rng.Float64() < s.Traffic.Roam {
+			no = d.rng.IntN(len(d.doors))
+		}
+		if s.Types[kind].Need == "mutate" {
+			d.mu.Lock()
+			for i := 0; i < 20 && d.people[w.session].writing; i++ {
+				w.session = d.rng.IntN(len(d.people))
+			}
+			p := &d.people[w.session]
+			p.writing = true
+			p.written++
+			w.version = p.written
+			if s.Types[kind].Effect == "by_key" {
+				w.key = d.keys.Add(1)
+			}
+			d.mu.Unlock()
+		}
+		asked++
+		d.wg.Add(1)
+		go func() {
+			defer d.wg.Done()
+			d.wish(w, no)
+		}()
+	}
+	d.wg.Wait()
+	for _, o := range d.doors {
+		for _, c := range o.idle {
+			c.Close()
+		}
+	}
+}
+
+// wish has a client try, and come again as it is told.
+func (d *driver) wish(x *wish, no int) {
+	s := d.s
+	t := &s.Types[x.kind]
+	for {
+		for i := 0; i < len(d.doors) && d.doors[no].away(); i++ {
+			no = (no + 1) % len(d.doors)
+		}
+		c := d.doors[no].client()
+		id := d.ids.Add(1)
+		if x.tries++; x.first == 0 {
+			x.first = id
+		}
+		d.mu.Lock()
+		p := &d.people[x.session]
+		at := d.now()
+		if x.tries == 1 {
+			_ = d.late.RecordValue(max(1, (at-x.due)/1000))
+		}
+		left := x.due + t.Limit - at
+		d.log.Asks = append(d.log.Asks, audit.Ask{ID: id, First: x.first, Session: uint64(x.session) + 1, Type: x.kind, Key: x.key, Version: x.version,
+			Owed: p.told, Due: x.due, At: at, Until: at + left, Gateway: no})
+		d.mu.Unlock()
+		c.Code, c.Group, c.Time = fmt.Sprintf("%08x%08x", d.prefix, x.session+1), d.group(x.session), time.Duration(max(1e6, left))
+		c.Class = standin.Classes{Write: t.Name, Read: t.Name}
+		var a standin.Answer
+		if t.Need == "mutate" {
+			key := ""
+			if x.key != 0 {
+				key = fmt.Sprint("k", x.key)
+			}
+			a = c.WriteAs(id, 0, key, fmt.Sprintf("%08d", x.version))
+		} else {
+			a = c.ReadAs(id, 0)
+		}
+		k, version := audit.Served, uint64(0)
+		switch {
+		case a.Err != nil || a.Code == "57P03" || strings.HasPrefix(a.Code, "08"):
+			k = audit.Cut
+			c.Close()
+		case a.Code == "53300":
+			k = audit.Declined
+		case a.Code != "":
+			k = audit.RolledBack
+		default:
+			version, _ = strconv.ParseUint(a.Value, 10, 64)
+			d.served.Add(1)
+		}
+		now := d.now()
+		d.mu.Lock()
+		d.log.Answers = append(d.log.Answers, audit.Answer{ID: id, At: now, Kind: k, Version: version})
+		if k == audit.Served && t.Need == "mutate" {
+			p.told = max(p.told, x.version)
+		}
+		if k == audit.Cut {
+			d.errors[strings.TrimSpace(a.Code+" "+fmt.Sprint(a.Err))]++
+		} else {
+			d.doors[no].back(c)
+		}
+		again, _ := strconv.Atoi(a.After)
+		pause := max(int64(again)*1e6, int64(20e6))
+		repeatable := t.Effect == "repeatable" || k == audit.Declined
+		over := k == audit.Served || !s.Traffic.Retry || !repeatable || x.tries >= 5 || now+pause >= x.due+t.Limit-int64(50e6)
+		if over && t.Need == "mutate" {
+			p.writing = false
+		}
+		d.mu.Unlock()
+		if over {
+			return
+		}
+		time.Sleep(time.Duration(pause))
+	}
+}
--- a/rehearse/nodes.go
+++ b/rehearse/nodes.go
@@ -66,7 +66,10 @@
 	if n.run > 1 {
 		n.w.notice(audit.Notice{Kind: audit.Up, Gateway: n.no})
 	}
-	n.open, n.links, n.drained = map[uint64]*asked{}, make([]link, len(n.w.bases)), make([]bool, len(n.w.bases))
+	n.open, n.links = map[uint64]*asked{}, make([]link, len(n.w.bases))
+	if n.drained == nil { // what a former process was told is taken back by the list that this one begins with
+		n.drained = make([]bool, len(n.w.bases))
+	}
 	n.tell(func() { n.list(decide.CachedList) })
 	return nil
 }
--- a/rehearse/read.go
+++ b/rehearse/read.go
@@ -123,7 +123,7 @@
 func Parse(text []byte, path string) (*Scenario, error) {
 	parsed, diags := hclsyntax.ParseConfig(text, path, hcl.InitialPos)
 	if diags.HasErrors() {
-		return nil, told(diags)
+		return nil, Told(diags)
 	}
 	f := &file{}
 	top := f.part(parsed.Body, hcl.Range{Filename: path, Start: hcl.InitialPos, End: hcl.InitialPos}, "about length seed gateways zones policy",
@@ -182,7 +182,7 @@
 		}
 	}
 	if f.diags.HasErrors() {
-		return nil, told(f.diags)
+		return nil, Told(f.diags)
 	}
 	return s, s.Check()
 }
@@ -321,7 +321,8 @@
 	s.Random = append(s.Random, r)
 }
 
-func told(diags hcl.Diagnostics) error {
+// Told words all that is wrong with a file, a line for each, with its place.
+func Told(diags hcl.Diagnostics) error {
 	var all []error
 	for _, d := range diags {
 		if d.Severity != hcl.DiagError {
--- a/rehearse/real.go
+++ b/rehearse/real.go
@@ -39,7 +39,6 @@
 	health  map[string]string
 	slow    []atomic.Int64 // thousandths, by member
 	left    []string       // what this clock does not play
-	served  atomic.Int64
 	wg      sync.WaitGroup
 }
 
@@ -52,9 +51,7 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	ended  chan struct{}
-	downAt time.Time
-	idle   []*standin.Client // connections that wait for the next txn
-	front  *standin.Front
+	door   *door
 }
 
 // Real plays a scenario with gateway processes of a program. Its chance decides what is asked and when, not how fast the
@@ -91,7 +88,14 @@
 				Gateway: st.rng.IntN(s.Gateways), Zone: s.Zones[0]})
 		}
 	}
-	st.traffic(watch)
+	d := newDriver(s, st.began)
+	d.group = func(session int) int { return session % len(st.groups) }
+	for _, n := range st.nodes {
+		d.doors = append(d.doors, n.door)
+	}
+	d.send(watch)
+	st.wg.Wait()
+	st.log.Asks, st.log.Answers = d.log.Asks, d.log.Answers
 	r := st.report()
 	r.Took = time.Since(began)
 	return r, nil
@@ -157,7 +161,7 @@
 		if err != nil {
 			return err
 		}
-		st.nodes = append(st.nodes, &process{st: st, no: i, listen: listen, peer: peer, front: standin.NewFront(listen)})
+		st.nodes = append(st.nodes, &process{st: st, no: i, listen: listen, peer: peer, door: &door{front: standin.NewFront(listen)}})
 	}
 	for _, n := range st.nodes {
 		if err := n.start(); err != nil {
@@ -291,14 +295,16 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cmd, n.ended, n.downAt = cmd, ended, time.Time{}
+	n.cmd, n.ended = cmd, ended
+	n.door.set(true)
 	return nil
 }
 
 func (n *process) kill() {
 	n.mu.Lock()
 	cmd, ended := n.cmd, n.ended
-	n.cmd, n.downAt, n.idle = nil, time.Now(), nil
+	n.cmd = nil
+	n.door.set(false)
 	n.mu.Unlock()
 	if cmd != nil {
 		_ = cmd.Process.Kill()
@@ -306,13 +312,6 @@
 	}
 }
 
-// away tells that the front has seen that it is down.
-func (n *process) away() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.cmd == nil && time.Since(n.downAt) > 100*time.Millisecond
-}
-
 func (st *stage) end() {
 	for _, n := range st.nodes {
 		n.kill()
@@ -432,156 +431,6 @@
 	st.said("%s is the primary", best.Name)
 }
 
-// client gives an idle connection of a gateway's, or a new one.
-func (n *process) client() *standin.Client {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if k := len(n.idle); k > 0 {
-		c := n.idle[k-1]
-		n.idle = n.idle[:k-1]
-		return c
-	}
-	return n.front.NewClient("", standin.Classes{})
-}
-
-func (n *process) back(c *standin.Client) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.cmd != nil && len(n.idle) < 100 {
-		n.idle = append(n.idle, c)
-		return
-	}
-	c.Close()
-}
-
-// traffic sends what is due when it is due: who waits for an answer holds nobody else up.
-func (st *stage) traffic(watch func(Progress)) {
-	s := st.s
-	people := make([]person, s.Traffic.Sessions)
-	sum := 0.0
-	for _, t := range s.Types {
-		sum += t.Share
-	}
-	var ids, keys, asked atomic.Uint64
-	next := time.Duration(0)
-	shown := time.Duration(0)
-	for {
-		next += time.Duration(st.rng.ExpFloat64() / max(0.001, s.Traffic.rateAt(int64(next))) * 1e9)
-		if int64(next) >= s.Length {
-			break
-		}
-		time.Sleep(time.Until(st.began.Add(next)))
-		if watch != nil && next-shown > 2*time.Second {
-			shown = next
-			watch(Progress{At: int64(next), Length: s.Length, Asked: int(asked.Load()), Served: int(st.served.Load())})
-		}
-		x := st.rng.Float64() * sum
-		kind := 0
-		for kind < len(s.Types)-1 && x >= s.Types[kind].Share {
-			x -= s.Types[kind].Share
-			kind++
-		}
-		t := &s.Types[kind]
-		wish := &wish{kind: kind, session: st.rng.IntN(len(people)), due: int64(next)}
-		home := wish.session % len(st.nodes)
-		if st.rng.Float64() < s.Traffic.Roam {
-			home = st.rng.IntN(len(st.nodes))
-		}
-		st.mu.Lock()
-		if t.Need == "mutate" {
-			for i := 0; i < 20 && people[wish.session].writing; i++ {
-				wish.session = st.rng.IntN(len(people))
-			}
-			p := &people[wish.session]
-			p.writing = true
-			p.written++
-			wish.version = p.written
-			if t.Effect == "by_key" {
-				wish.key = keys.Add(1)
-			}
-		}
-		st.mu.Unlock()
-		asked.Add(1)
-		st.wg.Add(1)
-		go func() {
-			defer st.wg.Done()
-			st.wish(wish, &people[wish.session], home, &ids)
-		}()
-	}
-	st.wg.Wait()
-}
-
-// wish has a client try, and come again as it is told.
-func (st *stage) wish(x *wish, p *person, home int, ids *atomic.Uint64) {
-	s := st.s
-	t := &s.Types[x.kind]
-	for {
-		n := st.nodes[home]
-		for i := 0; i < len(st.nodes) && n.away(); i++ {
-			home = (home + 1) % len(st.nodes)
-			n = st.nodes[home]
-		}
-		c := n.client()
-		id := ids.Add(1)
-		x.tries++
-		if x.first == 0 {
-			x.first = id
-		}
-		left := x.due + t.Limit - st.now()
-		st.mu.Lock()
-		st.log.Asks = append(st.log.Asks, audit.Ask{ID: id, First: x.first, Session: uint64(x.session) + 1, Type: x.kind, Key: x.key, Version: x.version,
-			Owed: p.told, Due: x.due, At: st.now(), Until: st.now() + left, Gateway: home})
-		st.mu.Unlock()
-		c.Code, c.Group, c.Time = fmt.Sprintf("%08x", x.session+1), x.session%len(st.groups), time.Duration(max(1e6, left))
-		c.Class = standin.Classes{Write: t.Name, Read: t.Name}
-		var a standin.Answer
-		if t.Need == "mutate" {
-			key := ""
-			if x.key != 0 {
-				key = fmt.Sprint("k", x.key)
-			}
-			a = c.WriteAs(id, 0, key, fmt.Sprintf("%08d", x.version))
-		} else {
-			a = c.ReadAs(id, 0)
-		}
-		k, version := audit.Served, uint64(0)
-		switch {
-		case a.Err != nil || a.Code == "57P03" || strings.HasPrefix(a.Code, "08"):
-			k = audit.Cut
-			c.Close()
-		case a.Code == "53300":
-			k = audit.Declined
-		case a.Code != "":
-			k = audit.RolledBack
-		default:
-			version, _ = strconv.ParseUint(a.Value, 10, 64)
-			st.served.Add(1)
-		}
-		if k != audit.Cut {
-			n.back(c)
-		}
-		now := st.now()
-		st.mu.Lock()
-		st.log.Answers = append(st.log.Answers, audit.Answer{ID: id, At: now, Kind: k, Version: version})
-		if k == audit.Served && t.Need == "mutate" {
-			p.told = max(p.told, x.version)
-		}
-		st.mu.Unlock()
-		again, _ := strconv.Atoi(a.After)
-		pause := max(int64(again)*1e6, int64(20e6))
-		repeatable := t.Effect == "repeatable" || k == audit.Declined
-		if k == audit.Served || !s.Traffic.Retry || !repeatable || x.tries >= 5 || now+pause >= x.due+t.Limit-int64(50e6) {
-			break
-		}
-		time.Sleep(time.Duration(pause))
-	}
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	if t.Need == "mutate" {
-		p.writing = false
-	}
-}
-
 // report reads what the stand-ins saw.
 func (st *stage) report() *Report {
 	no := map[string]int{}
@@ -602,7 +451,7 @@
 				continue
 			}
 			id, _ := strconv.ParseUint(e.ID, 16, 64)
-			session, _ := strconv.ParseUint(e.Code, 16, 64)
+			session, _ := strconv.ParseUint(e.Code[max(0, len(e.Code)-8):], 16, 64)
 			version, _ := strconv.ParseUint(e.Value, 10, 64)
 			key, _ := strconv.ParseUint(strings.TrimPrefix(e.Key, "k"), 10, 64)
 			st.log.Works = append(st.log.Works, audit.Work{ID: id, Key: key, Session: session, Version: version, Member: no[e.Member], Kind: kind,
--- /dev/null
+++ b/rehearse/real_test.go
@@ -0,0 +1,67 @@
+package rehearse
+
+import (
+	"math"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"magpieglade/standin"
+)
+
+// The built-in day, cut to its first twelve seconds, on both clocks: the rules are kept on both, and their service lies
+// within four points.
+func TestBothClocks(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "magpieglade")
+	if out, err := exec.Command("go", "build", "-o", program, "magpieglade/cmd/magpieglade").CombinedOutput(); err != nil {
+		t.Fatal(err, string(out))
+	}
+	s := find(t, "default")
+	s.Length, s.Traffic.Rate = 12e9, 300
+	for i := range s.Faults {
+		s.Faults[i].At /= 3
+		s.Faults[i].For /= 3
+	}
+	s.Groups[0].Detect = 600e6
+	simulated := simulated(t, s)
+	real, err := Real(s, program, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range []*Report{simulated, real} {
+		for _, v := range r.Violations {
+			t.Error(r.Clock, v.Rule, v.What, v.History)
+		}
+	}
+	for _, d := range Differences(simulated, real) {
+		t.Logf("%-28s %.3f %.3f %+.3f", d.What, d.One, d.Other, d.By)
+	}
+	if d := real.Service.Whole - simulated.Service.Whole; math.Abs(d) > 0.04 {
+		t.Errorf("%s apart: %+.3f", s.Name, d)
+	}
+}
+
+// A load sends what is due though nothing comes back, and counts from when it was due: one server that serves one query at
+// a time, each for 20 ms, at sixty a second, makes each second's clients wait longer than those before.
+func TestDriveIsOpenLoop(t *testing.T) {
+	m := standin.NewGroup(0).NewMember("m", true)
+	defer m.Kill()
+	m.Serve(1, func(string) time.Duration { return 20 * time.Millisecond })
+	s := find(t, "calm")
+	s.Length, s.Traffic.Rate, s.Traffic.Retry = 3e9, 60, false
+	for i := range s.Types {
+		s.Types[i].Share, s.Types[i].Limit = 0, 30e9
+	}
+	s.Types[0].Share = 1
+	r, err := Drive(&Load{Scenario: s, Addresses: []string{m.Address()}}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := &r.Service.Types[0]
+	t.Logf("%d asked, p50 %v, worst %v, sent late by %d us at the 99th percentile", x.Asked, time.Duration(x.P50), time.Duration(x.Worst), r.Late.ValueAtQuantile(99))
+	// A closed loop would wait for each answer, and see 20 ms.
+	if x.Served != x.Asked || x.Asked < 100 || time.Duration(x.Worst) < 300*time.Millisecond || len(r.Violations) > 0 {
+		t.Fatalf("%+v %v", x, r.Violations)
+	}
+}
--- a/rehearse/results/results.go
+++ b/rehearse/results/results.go
@@ -154,7 +154,7 @@
 		XAxis: chart.XAxis{Name: "second"}, YAxis: chart.YAxis{Name: "service", Range: &chart.ContinuousRange{Min: 0, Max: 1.02}}})
 }
 
-// latencyChart draws each txn type's latencies by quantile, from due to served.
+// latencyChart draws each txn type's latencies by quantile, from due to served, on a scale of powers of ten.
 func latencyChart(r *rehearse.Report) (template.HTML, error) {
 	at := []float64{5, 10, 20, 30, 40, 50, 60, 70, 80, 90, 95, 99}
 	var all []chart.Series
@@ -165,15 +165,16 @@
 		}
 		line := chart.ContinuousSeries{Name: t.Name, Style: chart.Style{StrokeColor: drawing.ColorBlack, StrokeWidth: 2, StrokeDashArray: []float64{8, 1 + 4*float64(i)}}}
 		for k, ns := range t.Quantiles(at) {
-			line.XValues, line.YValues = append(line.XValues, at[k]), append(line.YValues, float64(ns)/1e6)
+			line.XValues, line.YValues = append(line.XValues, at[k]), append(line.YValues, math.Log10(max(0.01, float64(ns)/1e6)))
 		}
-		last := len(at) - 1
-		all = append(all, line, chart.AnnotationSeries{Annotations: []chart.Value2{{XValue: line.XValues[last], YValue: line.YValues[last], Label: t.Name}}})
+		k := (2 + 2*i) % len(at) // each name stands elsewhere on its line
+		all = append(all, line, chart.AnnotationSeries{Annotations: []chart.Value2{{XValue: line.XValues[k], YValue: line.YValues[k], Label: t.Name}}})
 	}
 	if len(all) == 0 {
 		return "", nil
 	}
-	return draw(chart.Chart{Width: 900, Height: 320, Series: all, XAxis: chart.XAxis{Name: "percent of the served"}, YAxis: chart.YAxis{Name: "ms"}})
+	return draw(chart.Chart{Width: 900, Height: 320, Series: all, XAxis: chart.XAxis{Name: "percent of the served"}, YAxis: chart.YAxis{Name: "ms",
+		ValueFormatter: func(v any) string { return strconv.FormatFloat(math.Pow(10, v.(float64)), 'g', 2, 64) }}})
 }
 
 func draw(c chart.Chart) (template.HTML, error) {
--- a/rehearse/run.go
+++ b/rehearse/run.go
@@ -114,3 +114,23 @@
 		r.Failed = append(r.Failed, fmt.Sprintf("%d broken rules", len(r.Violations)))
 	}
 }
+
+// Difference is how far two reports of one scenario are apart.
+type Difference struct {
+	What           string
+	One, Other, By float64
+}
+
+// Differences compares what both clocks tell: service, and each txn type's service and median in milliseconds.
+func Differences(one, other *Report) (all []Difference) {
+	add := func(what string, a, b float64) { all = append(all, Difference{what, a, b, b - a}) }
+	add("service", one.Service.Whole, other.Service.Whole)
+	add("worst ten seconds", one.Service.Worst10, other.Service.Worst10)
+	for i := range one.Service.Types {
+		a, b := &one.Service.Types[i], &other.Service.Types[i]
+		add(a.Name, a.Service, b.Service)
+		add(a.Name+", median in ms", float64(a.P50)/1e6, float64(b.P50)/1e6)
+	}
+	add("broken rules", float64(len(one.Violations)), float64(len(other.Violations)))
+	return all
+}
--- /dev/null
+++ b/rehearse/write.go
@@ -0,0 +1,130 @@
+package rehearse
+
+import (
+	"time"
+
+	"github.com/hashicorp/hcl/v2/hclwrite"
+	"github.com/zclconf/go-cty/cty"
+)
+
+// HCL writes a scenario as a file that Parse reads as the same scenario.
+func (s *Scenario) HCL() []byte {
+	f := hclwrite.NewEmptyFile()
+	top := f.Body()
+	text := func(b *hclwrite.Body, name, value string) { b.SetAttributeValue(name, cty.StringVal(value)) }
+	span := func(b *hclwrite.Body, name string, ns int64) { text(b, name, time.Duration(ns).String()) }
+	number := func(b *hclwrite.Body, name string, x float64) { b.SetAttributeValue(name, cty.NumberFloatVal(x)) }
+	whole := func(b *hclwrite.Body, name string, n int) { b.SetAttributeValue(name, cty.NumberIntVal(int64(n))) }
+	list := func(b *hclwrite.Body, name string, all []string) {
+		var values []cty.Value
+		for _, x := range all {
+			values = append(values, cty.StringVal(x))
+		}
+		b.SetAttributeValue(name, cty.ListVal(values))
+	}
+	block := func(in *hclwrite.Body, kind string, labels ...string) *hclwrite.Body {
+		return in.AppendNewBlock(kind, labels).Body()
+	}
+	text(top, "about", s.About)
+	span(top, "length", s.Length)
+	top.SetAttributeValue("seed", cty.NumberUIntVal(s.Seed))
+	whole(top, "gateways", s.Gateways)
+	list(top, "zones", s.Zones)
+	text(top, "policy", s.Policy)
+	for _, g := range s.Groups {
+		b := block(top, "group")
+		whole(b, "members", g.Members)
+		whole(b, "cores", g.Cores)
+		whole(b, "connections", g.Connections)
+		whole(b, "thrash", g.Thrash)
+		span(b, "lag", g.Lag)
+		span(b, "apply", g.Apply)
+		span(b, "detect", g.Detect)
+		span(b, "hand_over", g.HandOver)
+		span(b, "handshake", g.Handshake)
+		span(b, "hold", g.Hold)
+		span(b, "cold", g.Cold)
+		span(b, "restart", g.Restart)
+		number(b, "cold_from", g.ColdFrom)
+		number(b, "fall", g.Fall)
+		b.SetAttributeValue("sync", cty.BoolVal(g.Sync))
+	}
+	b := block(top, "network")
+	span(b, "near", s.Network.Near)
+	span(b, "far", s.Network.Far)
+	number(b, "loss", s.Network.Loss)
+	for _, t := range s.Types {
+		b := block(top, "type", t.Name)
+		text(b, "effect", t.Effect)
+		text(b, "need", t.Need)
+		if t.Bound > 0 {
+			span(b, "bound", t.Bound)
+		}
+		if t.Window > 0 {
+			span(b, "window", t.Window)
+		}
+		b.SetAttributeValue("any_group", cty.BoolVal(t.AnyGroup))
+		number(b, "worth", t.Worth)
+		number(b, "late_value", t.LateValue)
+		span(b, "aim", t.Aim)
+		span(b, "limit", t.Limit)
+		span(b, "cost", t.Cost)
+		text(b, "spread", t.Spread)
+		number(b, "share", t.Share)
+	}
+	b = block(top, "traffic")
+	number(b, "rate", s.Traffic.Rate)
+	whole(b, "sessions", s.Traffic.Sessions)
+	number(b, "roam", s.Traffic.Roam)
+	number(b, "swing", s.Traffic.Swing)
+	if s.Traffic.Period > 0 {
+		span(b, "period", s.Traffic.Period)
+	}
+	b.SetAttributeValue("retry", cty.BoolVal(s.Traffic.Retry))
+	for _, j := range s.Traffic.Jumps {
+		in := block(b, "jump")
+		span(in, "at", j.At)
+		span(in, "for", j.For)
+		number(in, "times", j.Times)
+	}
+	for _, x := range s.Faults {
+		b := block(top, "fault", x.Kind)
+		span(b, "at", x.At)
+		if x.For > 0 {
+			span(b, "for", x.For)
+		}
+		for _, need := range Faults[x.Kind] {
+			switch need {
+			case "member":
+				text(b, need, x.Member)
+			case "zone":
+				text(b, need, x.Zone)
+			case "gateway":
+				whole(b, need, x.Gateway)
+			case "factor":
+				number(b, need, x.Factor)
+			case "lag":
+				span(b, need, x.Lag)
+			}
+		}
+	}
+	for _, r := range s.Random {
+		b := block(top, "random")
+		span(b, "every", r.Every)
+		span(b, "for", r.For)
+		list(b, "kinds", r.Kinds)
+		number(b, "factor", r.Factor)
+		span(b, "lag", r.Lag)
+	}
+	b = block(top, "expect")
+	for _, x := range []struct {
+		name string
+		x    float64
+	}{{"service", s.Expect.Service}, {"worst10", s.Expect.Worst10}, {"worst_type", s.Expect.WorstType}} {
+		if x.x >= 0 {
+			number(b, x.name, x.x)
+		}
+	}
+	b.SetAttributeValue("rules", cty.BoolVal(s.Expect.Rules))
+	return f.Bytes()
+}
