--- a/rehearse/real_test.go
+++ b/rehearse/real_test.go
@@ -1,6 +1,7 @@
 package rehearse
 
 import (
+	"fmt"
 	"math"
 	"os/exec"
 	"path/filepath"
@@ -65,3 +66,25 @@
 		t.Fatalf("%+v %v", x, r.Violations)
 	}
 }
+
+// BenchmarkDrive tells how late a load sends by its rate, against a server that answers at once in the same process.
+func BenchmarkDrive(b *testing.B) {
+	for _, rate := range []float64{1000, 4000, 8000, 16000, 32000} {
+		b.Run(fmt.Sprint("rate=", rate), func(b *testing.B) {
+			m := standin.NewGroup(0).NewMember("m", true)
+			defer m.Kill()
+			s := find(b, "calm")
+			s.Length, s.Traffic.Rate, s.Traffic.Sessions = 3e9, rate, 10_000
+			for range b.N {
+				r, err := Drive(&Load{Scenario: s, Addresses: []string{m.Address()}}, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(r.Late.ValueAtQuantile(50))/1000, "late_p50_ms")
+				b.ReportMetric(float64(r.Late.ValueAtQuantile(99))/1000, "late_p99_ms")
+				b.ReportMetric(float64(r.Service.Asked)/3, "sent/s")
+				b.ReportMetric(r.Service.Whole, "service")
+			}
+		})
+	}
+}
--- a/rehearse/simulate_test.go
+++ b/rehearse/simulate_test.go
@@ -228,7 +228,7 @@
 				s.Groups = nil
 				for range groups {
 					g := DefaultGroup()
-					g.Members = 4
+					g.Members, g.Connections = 4, 2*n
 					s.Groups = append(s.Groups, g)
 				}
 				s.Traffic.Rate, s.Traffic.Jumps, s.Faults = 400*float64(groups), nil, nil
