--- a/rehearse/audit/audit_test.go
+++ b/rehearse/audit/audit_test.go
@@ -16,6 +16,11 @@
 // good is a day without a broken rule: a write, and reads of what it wrote.
 func good() *Log {
 	l := &Log{Cores: []int{1, 1}, Names: []string{"p", "r"}}
+	defer func() {
+		for i := range l.Works {
+			l.Works[i].Came = l.Works[i].At
+		}
+	}()
 	l.Asks = append(l.Asks, Ask{ID: 1, First: 1, Session: 7, Type: 2, Key: 11, Version: 1, Due: 0, At: 0, Until: 2e9})
 	l.Works = append(l.Works, Work{ID: 1, Key: 11, Session: 7, Version: 1, Member: 0, Kind: Wrote, At: 5e6, Cost: 1e6})
 	l.Answers = append(l.Answers, Answer{ID: 1, At: 10e6, Kind: Served})
@@ -57,6 +62,12 @@
 	plant("a repeat", func(l *Log) { l.Works = append(l.Works, Work{ID: 9, Key: 11, Kind: Repeat, At: 90e6}) })
 	plant("declined with its effect", func(l *Log) { l.Answers[0].Kind = Declined })
 	plant("drain", func(l *Log) { l.Notices = []Notice{{At: -300e6, Kind: Drained, Member: 1}} })
+	plant("drain while it hung", func(l *Log) {
+		l.Notices = []Notice{{At: -300e6, Kind: Drained, Member: 1}}
+		for i := range l.Works {
+			l.Works[i].Came = -400e6
+		}
+	})
 	plant("drain in its grace", func(l *Log) { l.Notices = []Notice{{At: 0, Kind: Drained, Member: 1}} })
 	plant("drain that is over", func(l *Log) {
 		l.Notices = []Notice{{At: -300e6, Kind: Drained, Member: 1}, {At: 1e6, Kind: Back, Member: 1}}
@@ -100,6 +111,7 @@
 	//   drains kept 3 r gets it 331.0 ms after gateway 0 was told that it drains
 	//   drains kept 4 r gets it 341.0 ms after gateway 0 was told that it drains
 	//   drains kept 5 r gets it 351.0 ms after gateway 0 was told that it drains
+	// drain while it hung:
 	// drain in its grace:
 	// drain that is over:
 	// cold:
--- a/rehearse/databases.go
+++ b/rehearse/databases.go
@@ -155,7 +155,7 @@
 		return
 	}
 	d.w.log.Works = append(d.w.log.Works, audit.Work{ID: q.id, Key: q.key, Session: q.session, Version: version, Member: d.no,
-		Gateway: q.gateway.no, Kind: kind, At: d.w.now, Cost: q.first})
+		Gateway: q.gateway.no, Kind: kind, At: d.w.now, Came: q.came, Cost: q.first})
 }
 
 func (d *database) admit(q *query) {
--- a/rehearse/scenario.go
+++ b/rehearse/scenario.go
@@ -22,6 +22,7 @@
 	Faults      []Fault
 	Random      []RandomFaults
 	Expect      Expectation
+	Sessions    string // what a session's read must see: "covered", "fenced" or "own" by the gateways, or "brought" by clients
 	Policy      string // how reads are placed: "decide", or a baseline
 }
 
@@ -35,6 +36,9 @@
 // Policies are all of them.
 var Policies = []string{ByModule, AllOnMain, NoTokens}
 
+// SessionSources are what a session's read can go by.
+var SessionSources = []string{Brought, "covered", "fenced", "own"}
+
 // GroupPlan is a primary and its replicas.
 type GroupPlan struct {
 	Members     int
@@ -157,6 +161,8 @@
 		return fmt.Errorf("a scenario needs a length, gateways, zones, groups and txn types")
 	case s.Traffic.Rate <= 0 || s.Traffic.Sessions < 1:
 		return fmt.Errorf("traffic needs a rate and sessions")
+	case !slices.Contains(SessionSources, s.Sessions):
+		return fmt.Errorf("unknown source of sessions %q", s.Sessions)
 	case !slices.Contains(Policies, s.Policy):
 		return fmt.Errorf("unknown policy %q", s.Policy)
 	}
--- a/rehearse/write.go
+++ b/rehearse/write.go
@@ -30,6 +30,7 @@
 	top.SetAttributeValue("seed", cty.NumberUIntVal(s.Seed))
 	whole(top, "gateways", s.Gateways)
 	list(top, "zones", s.Zones)
+	text(top, "sessions", s.Sessions)
 	text(top, "policy", s.Policy)
 	for _, g := range s.Groups {
 		b := block(top, "group")
--- a/standin/member.go
+++ b/standin/member.go
@@ -31,6 +31,8 @@
 	hung  chan struct{} // closed once it goes on; nil while it runs
 	drain bool
 	delay time.Duration
+	fail  float64 // share of queries
+	owed  float64
 	cores chan struct{}                    // one for each query that is served at a time; nil is no bound
 	cost  func(class string) time.Duration // of a core's time, for a query of a class
 	drop  map[string]int                   // queries of a class that get no answer after their effect
@@ -157,6 +159,24 @@
 	m.cores, m.cost = make(chan struct{}, cores), cost
 }
 
+// Fail has it answer this share of queries with an error and do nothing for them, evenly.
+func (m *Member) Fail(share float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fail, m.owed = share, 0
+}
+
+// fails tells whether the next query is one of those.
+func (m *Member) fails() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.owed += m.fail; m.owed >= 1 {
+		m.owed--
+		return true
+	}
+	return false
+}
+
 // Swallow has so many next queries of a txn type carried out without an answer: the connection breaks instead.
 func (m *Member) Swallow(class string, n int) {
 	m.mu.Lock()
@@ -273,6 +293,9 @@
 		defer func() { <-cores }()
 	}
 	time.Sleep(delay)
+	if m.fails() {
+		return m.problem(b, "XX000", "something went wrong")
+	}
 	if head[2] == "INSERT" {
 		value := []byte{}
 		if len(values) > 1 {
