--- a/rehearse/load.go
+++ b/rehearse/load.go
@@ -47,7 +47,7 @@
 	d.keys.Store(first)
 	d.prefix, d.group = l.Prefix, func(int) int { return l.Group }
 	for _, a := range l.Addresses {
-		d.doors = append(d.doors, &door{front: standin.NewFront(a)})
+		d.doors = append(d.doors, &door{front: standin.NewFront(a), address: a})
 	}
 	d.send(watch)
 	t := s.terms(250e6)
@@ -82,10 +82,11 @@
 
 // door is a gateway as clients reach it, with the connections that wait for the next txn.
 type door struct {
-	front  *standin.Front
-	mu     sync.Mutex
-	idle   []*standin.Client
-	downAt time.Time // of a process that was ended; not set while it runs
+	front   *standin.Front
+	address string
+	mu      sync.Mutex
+	idle    []*standin.Client
+	downAt  time.Time // of a process that was ended; not set while it runs
 }
 
 // mostIdle is how many connections a door keeps.
@@ -144,6 +145,14 @@
 		sum += t.Share
 	}
 	asked := 0
+	over := make(chan struct{})
+	if s.Traffic.Rude > 0 {
+		d.wg.Add(1)
+		go func() {
+			defer d.wg.Done()
+			d.rude(over)
+		}()
+	}
 	for next, shown := int64(0), int64(0); ; {
 		next += int64(d.rng.ExpFloat64() / max(0.001, s.Traffic.rateAt(next)) * 1e9)
 		if next >= s.Length {
@@ -186,6 +195,7 @@
 			d.wish(w, no)
 		}()
 	}
+	close(over)
 	d.wg.Wait()
 	for _, o := range d.doors {
 		for _, c := range o.idle {
--- a/rehearse/real.go
+++ b/rehearse/real.go
@@ -161,7 +161,7 @@
 		if err != nil {
 			return err
 		}
-		st.nodes = append(st.nodes, &process{st: st, no: i, listen: listen, peer: peer, door: &door{front: standin.NewFront(listen)}})
+		st.nodes = append(st.nodes, &process{st: st, no: i, listen: listen, peer: peer, door: &door{front: standin.NewFront(listen), address: listen}})
 	}
 	for _, n := range st.nodes {
 		if err := n.start(); err != nil {
--- a/rehearse/scenario.go
+++ b/rehearse/scenario.go
@@ -88,6 +88,7 @@
 	Period   int64
 	Jumps    []Jump
 	Retry    bool
+	Rude     float64 // bad clients a second, in real time
 }
 
 // Jump multiplies the rate for a while.
--- a/rehearse/simulate_test.go
+++ b/rehearse/simulate_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"magpieglade/rehearse/audit"
+	"magpieglade/standin"
 )
 
 func find(t testing.TB, name string) *Scenario {
@@ -191,6 +192,18 @@
 	}
 }
 
+// A scenario of a thousand bad clients a second drives no fewer txns, and none of them is lost.
+func TestRude(t *testing.T) {
+	m := standin.NewGroup(0).NewMember("m", true)
+	defer m.Kill()
+	s := find(t, "bad-clients")
+	s.Length, s.Traffic.Rude = 2e9, 1000
+	r, err := Drive(&Load{Scenario: s, Addresses: []string{m.Address()}}, nil)
+	if err != nil || r.Service.Asked < 600 || len(r.Violations) > 0 || r.Service.Whole < 0.95 {
+		t.Fatal(err, r.Service.Asked, r.Service.Whole, r.Violations)
+	}
+}
+
 // What is wrong with a file is told with its place; whatever it holds, reading it ends.
 func TestWrongFiles(t *testing.T) {
 	for text, want := range map[string]string{
