--- a/rehearse/load.go
+++ b/rehearse/load.go
@@ -188,6 +188,19 @@
 			}
 			d.mu.Unlock()
 		}
+		if s.Types[kind].Need != "mutate" && s.Traffic.Piped > 0 && d.rng.Float64() < s.Traffic.Piped/batch {
+			all := []*wish{w}
+			for len(all) < batch {
+				all = append(all, &wish{kind: kind, session: w.session, due: next})
+			}
+			asked += batch
+			d.wg.Add(1)
+			go func() {
+				defer d.wg.Done()
+				d.piped(all, no)
+			}()
+			continue
+		}
 		asked++
 		d.wg.Add(1)
 		go func() {
--- a/rehearse/nodes.go
+++ b/rehearse/nodes.go
@@ -39,6 +39,7 @@
 	subs                      []*submission
 	out                       int
 	done                      bool
+	next                      *asked // that was sent ahead behind it, on the same connection
 	answer                    func(k audit.Kind, version uint64, position, again int64)
 }
 
@@ -98,7 +99,9 @@
 	for _, id := range ids {
 		if t := n.open[id]; !t.done {
 			t.done = true
-			n.w.after(n.w.way(n.zone, n.zone), func() { t.answer(audit.Cut, 0, 0, 0) })
+			for one := t; one != nil; one = one.next {
+				n.w.after(n.w.way(n.zone, n.zone), func() { one.answer(audit.Cut, 0, 0, 0) })
+			}
 		}
 	}
 	for i := range n.links {
@@ -216,7 +219,9 @@
 // arrived takes a client's txn.
 func (n *node) arrived(t *asked) {
 	if !n.up {
-		t.answer(audit.Cut, 0, 0, 0)
+		for ; t != nil; t = t.next {
+			t.answer(audit.Cut, 0, 0, 0)
+		}
 		return
 	}
 	n.open[t.id], t.came = t, n.w.now
@@ -270,6 +275,11 @@
 		}
 	})
 	n.settled(t)
+	if next := t.next; next != nil { // its time has run meanwhile
+		t.next = nil
+		next.budget = max(1, next.budget-(n.w.now-t.came))
+		n.arrived(next)
+	}
 }
 
 func (n *node) settled(t *asked) {
--- a/rehearse/scenario.go
+++ b/rehearse/scenario.go
@@ -88,6 +88,7 @@
 	Period   int64
 	Jumps    []Jump
 	Retry    bool
+	Piped    float64 // share of reads that come three at a time on one connection, none waiting for another's answer
 	Rude     float64 // bad clients a second, in real time
 }
 
--- a/rehearse/world.go
+++ b/rehearse/world.go
@@ -378,11 +378,42 @@
 			wish.key = p.keys
 		}
 	}
+	if t.Need != "mutate" && w.s.Traffic.Piped > 0 && w.rng.Float64() < w.s.Traffic.Piped/batch {
+		n, first := p.ask(wish)
+		last := first
+		for range batch - 1 {
+			one := *wish
+			one.first, one.tries = 0, 0
+			last.next = p.askAt(n, &one)
+			last = last.next
+		}
+		w.after(w.way(n.zone, n.zone), func() { n.arrived(first) })
+		return
+	}
 	p.try(wish)
 }
 
 // try sends a wish to a gateway.
 func (p *people) try(x *wish) {
+	n, a := p.ask(x)
+	p.w.after(p.w.way(n.zone, n.zone), func() { n.arrived(a) })
+}
+
+// ask chooses a gateway for a try and notes it.
+func (p *people) ask(x *wish) (*node, *asked) {
+	w := p.w
+	no := x.session % len(w.nodes)
+	if w.s.Traffic.Roam > 0 && w.rng.Float64() < w.s.Traffic.Roam {
+		no = w.rng.IntN(len(w.nodes))
+	}
+	for i := 0; i < len(w.nodes) && w.nodes[no].away(); i++ { // the front has seen that it is gone
+		no = (no + 1) % len(w.nodes)
+	}
+	return w.nodes[no], p.askAt(w.nodes[no], x)
+}
+
+// askAt notes a try at a gateway.
+func (p *people) askAt(n *node, x *wish) *asked {
 	w := p.w
 	t := &w.s.Types[x.kind]
 	s := &p.sessions[x.session]
@@ -392,17 +423,9 @@
 	if x.first == 0 {
 		x.first = id
 	}
-	no := x.session % len(w.nodes)
-	if w.s.Traffic.Roam > 0 && w.rng.Float64() < w.s.Traffic.Roam {
-		no = w.rng.IntN(len(w.nodes))
-	}
-	for i := 0; i < len(w.nodes) && w.nodes[no].away(); i++ { // the front has seen that it is gone
-		no = (no + 1) % len(w.nodes)
-	}
-	n := w.nodes[no]
 	left := x.due + t.Limit - w.now
 	w.log.Asks = append(w.log.Asks, audit.Ask{ID: id, First: x.first, Session: uint64(x.session) + 1, Type: x.kind, Key: x.key, Version: x.version,
-		Owed: s.told, Due: x.due, At: w.now, Until: w.now + left, Gateway: no})
+		Owed: s.told, Due: x.due, At: w.now, Until: w.now + left, Gateway: n.no})
 	a := &asked{id: id, kind: x.kind, session: uint64(x.session) + 1, key: x.key, version: x.version, budget: left}
 	if t.Need == "causal" && s.at > 0 && w.s.Sessions == Brought {
 		a.floor = s.at
@@ -410,7 +433,7 @@
 	a.answer = func(k audit.Kind, version uint64, position int64, again int64) {
 		p.answered(x, id, k, version, position, again)
 	}
-	w.after(w.way(n.zone, n.zone), func() { n.arrived(a) })
+	return a
 }
 
 // answered is what a client makes of an answer: some come again, while there is time.
--- a/rehearse/write.go
+++ b/rehearse/write.go
@@ -82,6 +82,7 @@
 		span(b, "period", s.Traffic.Period)
 	}
 	b.SetAttributeValue("retry", cty.BoolVal(s.Traffic.Retry))
+	number(b, "piped", s.Traffic.Piped)
 	number(b, "rude", s.Traffic.Rude)
 	for _, j := range s.Traffic.Jumps {
 		in := block(b, "jump")
