Rehearsals: primaries that were replaced while they hung restart; time of txns sent ahead

Found by searches with reads sent ahead, both in the kit: the third of a batch was given more time than its client had (answers after their time), and a primary that hung, was replaced, and was then made the primary again carried out writes that it had held for five seconds, past the window of their keys.

--- a/rehearse/databases.go
+++ b/rehearse/databases.go
@@ -32,31 +32,32 @@
 
 // database is one member.
 type database struct {
-	w       *world
-	of      *cluster
-	no      int // in the world
-	name    string
-	zone    int
-	primary bool
-	up      bool
-	run     int   // counts its processes
-	born    int64 // of this one; 0 is long ago
-	paused  bool
-	held    []*query // that came while it was paused
-	slow    float64
-	errors  float64
-	lost    float64
-	late    int64 // more than its group's lag
-	drained bool
-	gone    bool // as the list has it
-	running int
-	queue   []*query
-	conns   int
-	next    int // of the log: the first that it has not applied
-	freeAt  int64
-	applied int64
-	window  []offered // of a cold one
-	offer   float64
+	w        *world
+	of       *cluster
+	no       int // in the world
+	name     string
+	zone     int
+	primary  bool
+	up       bool
+	run      int   // counts its processes
+	born     int64 // of this one; 0 is long ago
+	paused   bool
+	replaced bool     // as the primary, while it was paused
+	held     []*query // that came while it was paused
+	slow     float64
+	errors   float64
+	lost     float64
+	late     int64 // more than its group's lag
+	drained  bool
+	gone     bool // as the list has it
+	running  int
+	queue    []*query
+	conns    int
+	next     int // of the log: the first that it has not applied
+	freeAt   int64
+	applied  int64
+	window   []offered // of a cold one
+	offer    float64
 }
 
 type offered struct {
@@ -292,7 +293,7 @@
 	if !d.up {
 		return
 	}
-	d.up, d.paused = false, false
+	d.up, d.paused, d.replaced = false, false, false
 	d.run++
 	d.running, d.conns = 0, 0
 	pending := append(d.queue, d.held...)
@@ -369,7 +370,7 @@
 				return
 			}
 		}
-		if to.up {
+		if to.up && !to.paused {
 			c.promote(to)
 		} else {
 			c.elect()
--- a/rehearse/nodes.go
+++ b/rehearse/nodes.go
@@ -36,6 +36,7 @@
 	kind                      int
 	floor                     int64
 	budget, came              int64
+	headAt                    int64 // when the first of those came that it was sent with
 	subs                      []*submission
 	out                       int
 	done                      bool
@@ -225,6 +226,9 @@
 		return
 	}
 	n.open[t.id], t.came = t, n.w.now
+	if t.headAt == 0 {
+		t.headAt = n.w.now
+	}
 	kind := &n.w.s.Types[t.kind]
 	if n.sessions != nil && kind.Effect == "by_key" {
 		until, ok := n.sessions.module.Repeat(n.groupOf(t), t.key, kind.Window)
@@ -277,7 +281,8 @@
 	n.settled(t)
 	if next := t.next; next != nil { // its time has run meanwhile
 		t.next = nil
-		next.budget = max(1, next.budget-(n.w.now-t.came))
+		next.budget = max(1, next.budget-(n.w.now-t.headAt))
+		next.headAt = t.headAt
 		n.arrived(next)
 	}
 }
--- a/rehearse/real.go
+++ b/rehearse/real.go
@@ -408,6 +408,10 @@
 		}, func() {})
 	case "move":
 		both(func() {
+			if st.hangs(m.Name) {
+				st.said("%s hangs and can't take over", m.Name)
+				return
+			}
 			m.Group().Demote()
 			time.Sleep(time.Duration(st.planOf(m).HandOver))
 			m.Group().Elect(m, st.planOf(m).Sync)
@@ -451,6 +455,14 @@
 // afterPause is how long what came while a member hung may be answered after that.
 const afterPause = int64(500e6)
 
+// hangs tells whether a member hangs now, by the plan of the day.
+func (st *stage) hangs(member string) bool {
+	now := st.now()
+	return slices.ContainsFunc(st.s.Faults, func(f Fault) bool {
+		return f.Kind == "pause" && f.Member == member && now >= f.At && now < f.At+f.For
+	})
+}
+
 // came is when a query that was done at a time may have come: stand-ins tell when they did it.
 func (st *stage) came(member string, at int64) int64 {
 	for _, f := range st.s.Faults {
--- a/rehearse/world.go
+++ b/rehearse/world.go
@@ -203,7 +203,7 @@
 				w.after(d.of.plan.Detect, func() {
 					if d.paused && d.run == run && d.primary {
 						d.reaches()
-						d.primary = false
+						d.primary, d.replaced = false, true
 						d.of.elect()
 					}
 				})
@@ -212,6 +212,11 @@
 			if !d.paused {
 				return
 			}
+			if d.replaced { // it can't go on where it stood: others have written since
+				d.replaced = false
+				d.crash(d.of.plan.Restart)
+				return
+			}
 			d.paused = false
 			held := d.held
 			d.held = nil
