Rehearsals: reads after a time to think, a page of verdicts; marks of members with their entry

think in traffic: a session reads what it wrote after a time by chance, on both clocks. An experiment leaves verdicts.html beside its CSV. Names of members between gateways are hashed once, as the list tells them, and not for each entry of news on the loop.

--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -62,6 +62,7 @@
 type host struct {
 	server decide.Server
 	entry  httpwire.Host
+	mark   uint64 // by which other gateways know it
 }
 
 // news is a list to tell the module.
@@ -278,7 +279,7 @@
 		return
 	}
 	server := serverOf(address)
-	ds.list.hosts[e.Host] = host{server, e}
+	ds.list.hosts[e.Host] = host{server, e, markOf(e.Host)}
 	ds.list.groups[e.Block] = true
 	kind := slices.Index(ds.g.names.MachineTypes, e.Class)
 	ds.g.module.Listed(server, e.Block, e.Mode == "read-write", status, zone, e.Share, kind, ds.g.clock.at(e.BornMs))
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -25,11 +25,11 @@
 func (s *sessions) tellNews(all []decide.News) {
 	var entries []peerwire.Entry
 	for _, n := range all {
-		for name, h := range s.g.discovery.list.hosts {
+		for _, h := range s.g.discovery.list.hosts {
 			if h.server != n.Server {
 				continue
 			}
-			e := peerwire.Entry{Kind: newsOfReplica, Group: uint16(h.entry.Block), Key: markOf(name), Position: int64(s.position(n.Position))}
+			e := peerwire.Entry{Kind: newsOfReplica, Group: uint16(h.entry.Block), Key: h.mark, Position: int64(s.position(n.Position))}
 			if n.Primary {
 				e.Kind = newsOfPrimary
 			}
@@ -56,8 +56,8 @@
 		return
 	}
 	for _, e := range entries {
-		for name, h := range s.g.discovery.list.hosts {
-			if markOf(name) != e.Key || h.entry.Block != int(e.Group) {
+		for _, h := range s.g.discovery.list.hosts {
+			if h.mark != e.Key || h.entry.Block != int(e.Group) {
 				continue
 			}
 			in := input{kind: inNews, server: h.server, position: s.onClock(session.Position(e.Position))}
--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -13,6 +13,7 @@
 
 	"magpieglade/rehearse"
 	"magpieglade/rehearse/experiment"
+	"magpieglade/rehearse/results"
 )
 
 type experiments struct {
@@ -22,7 +23,7 @@
 
 type experimentRun struct {
 	File string `arg:"" type:"existingfile" help:"The experiment's file." predictor:"file"`
-	Out  string `default:"experiment" type:"path" help:"A folder for runs.jsonl and verdicts.csv."`
+	Out  string `default:"experiment" type:"path" help:"A folder for runs.jsonl, verdicts.csv and verdicts.html."`
 	JSON bool   `name:"json" help:"The verdicts as lines of JSON."`
 }
 
@@ -63,6 +64,14 @@
 	if err := w.Error(); err != nil {
 		return err
 	}
+	page, err := os.Create(filepath.Join(e.Out, "verdicts.html"))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = page.Close() }()
+	if err := results.Verdicts(page, p.Variants[0].Name, verdicts); err != nil {
+		return err
+	}
 	return table.Flush()
 }
 
--- a/rehearse/load.go
+++ b/rehearse/load.go
@@ -68,6 +68,7 @@
 	group  func(session int) int
 	doors  []*door
 	rng    *rand.Rand
+	thinks *rand.Rand // of mu's, as whoever was answered draws from it
 	began  time.Time
 	mu     sync.Mutex
 	people []person
@@ -132,7 +133,7 @@
 
 func newDriver(s *Scenario, began time.Time) *driver {
 	return &driver{s: s, began: began, people: make([]person, s.Traffic.Sessions), late: hdrhistogram.New(1, 60_000_000, 3), errors: map[string]int{},
-		rng: rand.New(rand.NewPCG(s.Seed, 13))}
+		rng: rand.New(rand.NewPCG(s.Seed, 13)), thinks: rand.New(rand.NewPCG(s.Seed, 15))}
 }
 
 func (d *driver) now() int64 { return int64(time.Since(d.began)) }
@@ -270,6 +271,16 @@
 		d.log.Answers = append(d.log.Answers, audit.Answer{ID: id, At: now, Kind: k, Version: version})
 		if k == audit.Served && t.Need == "mutate" {
 			p.told = max(p.told, x.version)
+			if kind := s.followUp(); kind >= 0 {
+				think := time.Duration(d.thinks.ExpFloat64() * float64(s.Traffic.Think))
+				d.wg.Add(1)
+				go func() {
+					defer d.wg.Done()
+					if time.Sleep(think); d.now() < s.Length {
+						d.wish(&wish{kind: kind, session: x.session, due: d.now()}, no)
+					}
+				}()
+			}
 		}
 		if k == audit.Cut {
 			d.errors[strings.TrimSpace(a.Code+" "+fmt.Sprint(a.Err))]++
--- a/rehearse/read.go
+++ b/rehearse/read.go
@@ -252,7 +252,7 @@
 }
 
 func (f *file) traffic(b *hcl.Block, s *Scenario) {
-	p := f.part(b.Body, b.DefRange, "rate sessions roam swing period retry piped rude", "jump")
+	p := f.part(b.Body, b.DefRange, "rate sessions roam swing period retry think piped rude", "jump")
 	t := &s.Traffic
 	p.number("rate", &t.Rate, 0.1, 1e6)
 	p.whole("sessions", &t.Sessions, 1, 10_000_000)
@@ -260,6 +260,7 @@
 	p.number("swing", &t.Swing, 0, 1)
 	p.span("period", &t.Period, 10*time.Millisecond)
 	value(p, "retry", &t.Retry)
+	p.span("think", &t.Think, time.Millisecond)
 	p.number("piped", &t.Piped, 0, 1)
 	p.number("rude", &t.Rude, 0, 10_000)
 	for _, b := range p.blocks {
--- a/rehearse/results/results.go
+++ b/rehearse/results/results.go
@@ -20,9 +20,10 @@
 
 	"magpieglade/rehearse"
 	"magpieglade/rehearse/audit"
+	"magpieglade/rehearse/experiment"
 )
 
-//go:embed report.html
+//go:embed report.html verdicts.html
 var page embed.FS
 
 // Write writes a folder of results: report.html, seconds.csv, members.csv, types.csv, broken.jsonl.
@@ -186,3 +187,12 @@
 	svg := bytes.Replace(out.Bytes(), []byte(`width="900" height="320"`), []byte(`viewBox="0 0 900 320" role="img"`), 1)
 	return template.HTML(svg), nil // made here, of numbers and of names that the chart escapes
 }
+
+// Verdicts writes a page of what an experiment says.
+func Verdicts(out io.Writer, first string, all []experiment.Verdict) error {
+	t, err := template.ParseFS(page, "verdicts.html")
+	if err != nil {
+		return err
+	}
+	return t.Execute(out, map[string]any{"First": first, "Verdicts": all})
+}
--- a/rehearse/scenario.go
+++ b/rehearse/scenario.go
@@ -88,6 +88,7 @@
 	Period   int64
 	Jumps    []Jump
 	Retry    bool
+	Think    int64   // mean time after which a session reads what it has written; 0 is that it does not by itself
 	Piped    float64 // share of reads that come three at a time on one connection, none waiting for another's answer
 	Rude     float64 // bad clients a second, in real time
 }
@@ -185,6 +186,14 @@
 	return nil
 }
 
+// followUp is the txn type by which a session reads what it has written, below 0 for none.
+func (s *Scenario) followUp() int {
+	if s.Traffic.Think <= 0 {
+		return -1
+	}
+	return slices.IndexFunc(s.Types, func(t TypePlan) bool { return t.Need == "causal" })
+}
+
 // memberNamed finds a member by its name.
 func (s *Scenario) memberNamed(name string) (group, member int, err error) {
 	if n, e := fmt.Sscanf(name, "%d.%d", &group, &member); n != 2 || e != nil || fmt.Sprintf("%d.%d", group, member) != name {
--- a/rehearse/scenarios/slow-apply.hcl
+++ b/rehearse/scenarios/slow-apply.hcl
@@ -1,5 +1,8 @@
 about  = "All replicas apply slowly in turn; for a while none is current."
 length = "30s"
+traffic {
+  think = "300ms" # and each session looks at what it has written
+}
 fault "lag" {
   at     = "5s"
   for    = "10s"
--- a/rehearse/world.go
+++ b/rehearse/world.go
@@ -453,6 +453,13 @@
 			s.writing = false
 			s.told = max(s.told, x.version)
 			s.at = max(s.at, position)
+			if kind := w.s.followUp(); kind >= 0 {
+				w.after(int64(w.rng.ExpFloat64()*float64(w.s.Traffic.Think)), func() {
+					if !p.closed {
+						p.try(&wish{kind: kind, session: x.session, due: w.now})
+					}
+				})
+			}
 		}
 		return
 	}
--- a/rehearse/write.go
+++ b/rehearse/write.go
@@ -82,6 +82,9 @@
 		span(b, "period", s.Traffic.Period)
 	}
 	b.SetAttributeValue("retry", cty.BoolVal(s.Traffic.Retry))
+	if s.Traffic.Think > 0 {
+		span(b, "think", s.Traffic.Think)
+	}
 	number(b, "piped", s.Traffic.Piped)
 	number(b, "rude", s.Traffic.Rude)
 	for _, j := range s.Traffic.Jumps {
