--- a/rehearse/experiment/read.go
+++ b/rehearse/experiment/read.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/hclsimple"
 
+	"magpieglade/internal/hclfile"
 	"magpieglade/rehearse"
 )
 
@@ -43,7 +44,7 @@
 	if err := hclsimple.Decode(path, body, nil, &t); err != nil {
 		var diags hcl.Diagnostics
 		if errors.As(err, &diags) {
-			return nil, rehearse.Told(diags)
+			return nil, hclfile.Problems(diags)
 		}
 		return nil, err
 	}
