Answers that were overtaken are astray: a silent connection costs its member nothing

At fault: Ended cut limits for, and place counted as in flight, what hung on a connection that fell silent, so that one write at a primary with a limit of 1 held all others up for its client's whole time; and Unreachable took a member for lost that had answered since, called off what it had in flight, and cost it as many handshakes more. Change: a submission is overtaken when its member served one of its kind that was sent later. Then it cuts no limit; after six mean latencies it is astray: not in flight, nor a sign of silence, and tried again where its effect allows it (keyed: in its group, within the window). A handshake that is lost at a member that answered since is no loss of the member.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -49,6 +49,7 @@
 	luckPart     = 2.0       // reads keep off primaries by chance from half of the latency that cuts limits
 	hopeless     = 1.2       // mean service times that must be left for a txn to be worth sending
 	heldValue    = 0.3       // cost, of its value, of answering a txn that was never sent after half its time
+	strayMeans   = 6.0       // mean latencies after which an answer that was overtaken is astray: rare by chance
 	rescueMeans  = 2.0       // service times after which a read on a suspect is taken elsewhere
 	farPenalty   = 1.15      // a member elsewhere must be this much less loaded to be preferred
 	errorPenalty = 20.0      // one that answers errors alone must be this much less loaded to be preferred
@@ -161,7 +162,7 @@
 	case Unreachable:
 		if elapsed < g.site.Limits.ConnectTimeout/2 {
 			g.refused(m)
-		} else {
+		} else if m.quietSince <= s.at { // who has answered since is there: this one handshake was lost
 			g.lost(m, "no connection", true)
 		}
 	case Failed:
@@ -173,7 +174,8 @@
 	case Broken, Reset:
 		g.broke(m)
 	case TimedOut, Cancelled: // it took this long at least: what never answers must cut a limit too
-		if late := float64(g.now-s.at-g.detourTo(m.zone)) / float64(g.patience(t.class)); late > 1 {
+		late := float64(g.now-s.at-g.detourTo(m.zone)) / float64(g.patience(t.class))
+		if late > 1 && !g.overtaken(t, s) { // but not where the connection did, not the member
 			m.late.add(g.now, fadeLatency, late)
 			g.late.add(g.now, fadeClass, late)
 			g.cut(m)
@@ -445,16 +447,6 @@
 	m.limit, m.grownAt = max(least, min(m.limit, float64(m.out+1))*limitCut), g.now
 }
 
-// detourTo is how much longer the way to a zone takes than the way within this one, by the quickest answers
-// of late, which crowded members hardly change. It is no member's fault and cuts no limit.
-func (g *Gateway) detourTo(zone int) Nanos {
-	here, there := g.wayOf(g.site.Zone).least(g.now, fadeLatency), g.wayOf(zone).least(g.now, fadeLatency)
-	if here == 0 || there <= here {
-		return 0
-	}
-	return there - here
-}
-
 // inTime tells whether the way to a member leaves time to earn something. What can earn nothing any more, or
 // is taken for a client's repeat of such, must not be held to its end either: it goes where none is crowded.
 func (g *Gateway) inTime(t *txn, m *member) bool {
@@ -583,12 +575,22 @@
 // reviewTxn calls off copies whose client has its answer, and answers at once what can no longer be in time.
 func (g *Gateway) reviewTxn(t *txn) (Decision, bool) {
 	c := &g.site.Classes[t.class]
-	if t.done {
-		for i := range t.subs {
-			if s := &t.subs[i]; !s.over && !s.cancelled && g.site.Limits.Cancelling && c.Effect == "repeatable" {
-				return t.cancel(i), true
-			}
+	for i := range t.subs {
+		s := &t.subs[i]
+		if s.over {
+			continue
+		}
+		// A connection that fell silent at a member that is well must take no part of its limit, nor a txn's
+		// time. It harms where one txn takes many times as long as others of its kind: that is asked twice.
+		waits := float64(g.now-s.at) * s.rate / s.to.slow.lean(g.now, fadeLatency, 1, 1)
+		if !s.astray && g.overtaken(t, s) && waits > strayMeans {
+			s.strays()
 		}
+		if t.done && !s.cancelled && g.site.Limits.Cancelling && c.Effect == "repeatable" {
+			return t.cancel(i), true
+		}
+	}
+	if t.done {
 		return Decision{}, false
 	}
 	// Where all is slow a txn is still tried in half of its SLA time: else nothing could show that it is over.
@@ -607,8 +609,7 @@
 	}
 	if t.out == 1 && !t.waiting {
 		i := slices.IndexFunc(t.subs, func(s submission) bool { return !s.over })
-		s := &t.subs[i]
-		if !s.cancelled && g.rescues(t, s) {
+		if s := &t.subs[i]; !s.cancelled && g.rescues(t, s) {
 			if g.site.Limits.MayDuplicate {
 				g.queue(t)
 			} else if g.site.Limits.Cancelling {
@@ -619,18 +620,17 @@
 	return Decision{}, false
 }
 
-// rescues tells whether a txn in flight should be tried elsewhere, as its member is suspect.
+// rescues tells whether a txn in flight is tried again, as its member is suspect or its answer astray.
 func (g *Gateway) rescues(t *txn, s *submission) bool {
-	if len(t.subs) >= g.site.Limits.MaxAttempts {
-		return false
-	}
-	switch g.site.Classes[t.class].Effect {
-	case "repeatable":
-		return s.to.suspect && float64(g.now-s.at) > rescueMeans*g.expected(t.class)
-	case "by_key":
-		// Only a new primary can do better, and only while the group remembers the first submission.
+	switch effect := g.site.Classes[t.class].Effect; {
+	case len(t.subs) >= g.site.Limits.MaxAttempts:
+	case effect == "repeatable":
+		return s.astray || s.to.suspect && float64(g.now-s.at) > rescueMeans*g.expected(t.class)
+	case effect == "by_key":
+		// Only a primary that is well can do better, and only while the group remembers the first submission.
 		p := g.primaryOf(t.group)
-		return s.to.suspect && p != nil && p != s.to && !p.suspect && g.now < s.at+g.site.Classes[t.class].Window
+		return p != nil && !p.suspect && (s.to.suspect && p != s.to || s.astray) &&
+			g.now < t.subs[0].at+g.site.Classes[t.class].Window
 	}
 	return false
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -904,6 +904,68 @@
 	// true false
 }
 
+// A connection that falls silent at a member that is well takes nothing from it: what was sent later on another one
+// is answered, so no limit is cut, none of it is taken up, the member is not suspect and a keyed txn is asked again
+// there. Before, each such write kept a primary of one write in flight busy until its client was gone.
+func Example_silentConnection() {
+	t := open().list("a* b")
+	a := t.g.members[Server{'a'}]
+	for i := range uint64(40) {
+		t.at(10000+20*float64(i)).txn(1+i, 4, 0).g.Next()
+		if a.limit = 2; i != 20 { // what txn 21 was sent on fell silent
+			t.at(10015+20*float64(i)).end(1+i, 0, "a", Committed, 1, 10000)
+		}
+		if d, ok := t.g.Next(); ok && d.Kind == Cancel {
+			fmt.Println("txn", d.Txn, "called off at", t.clock, "in flight", a.out, "suspect", a.suspect)
+			t.end(21, 0, "a", Cancelled, 0, 0).pull().end(21, 1, "a", Committed, 1, 10000)
+			break
+		}
+	}
+	t.at(11000).txn(50, 3, 0).pull().at(11050).txn(51, 3, 0).pull() // once-only: not to be sent again
+	t.at(11100).end(51, 0, "a", Committed, 1, 10000)
+	before := a.limit
+	t.at(11900).end(50, 0, "a", TimedOut, 0, 0)
+	fmt.Println("cut:", a.limit < before)
+	// Output:
+	// txn 21 called off at 10515 in flight 0 suspect false
+	//  10515 submit 21 to a
+	//  11000 submit 50 to a
+	//  11050 submit 51 to a
+	// cut: false
+}
+
+// The other side: a crowded member answers in the order in which it was sent to. Its answers to what came earlier
+// do not save it, as they would if any answer since did.
+func Example_crowdedMemberIsCut() {
+	t := open().list("a*").txn(1, 4, 0).pull().at(10100).txn(2, 4, 0).pull()
+	a := t.g.members[Server{'a'}]
+	t.at(10450).end(1, 0, "a", Committed, 1, 10000)
+	before := a.limit
+	t.at(10900).end(2, 0, "a", TimedOut, 0, 0)
+	fmt.Println("cut:", a.limit < before)
+	// Output:
+	// 10000 submit 1 to a
+	//  10100 submit 2 to a
+	// cut: true
+}
+
+// A handshake that is lost at a member that answers others meanwhile is no sign that the member is away: to take it
+// for lost called off all that it had in flight, which cost it as many handshakes more.
+func Example_handshakeLost() {
+	t := open().list("a*").txn(1, 4, 0).txn(2, 4, 0).pull()
+	a := t.g.members[Server{'a'}]
+	t.at(10200).end(2, 0, "a", Committed, 1, 10000).at(10250).end(1, 0, "a", Unreachable, 0, 0)
+	fmt.Println(a.suspect)
+	t.pull().at(10600).end(1, 1, "a", Unreachable, 0, 0)
+	fmt.Println(a.suspect)
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 submit 2 to a
+	// false
+	//  10250 submit 1 to a
+	// true
+}
+
 // What is given up unanswered past its SLA time has taken that long at least. Only answers counted: a replica that
 // served nobody in time kept the first limit of every gateway, and all went on sending to it.
 func Example_unansweredCutsLimits() {
--- a/decide/state.go
+++ b/decide/state.go
@@ -78,6 +78,7 @@
 	lacking                bool    // in the gateway's list of those that were passed over
 	flight, sentSum        float64 // sums over them of one, and of when they were sent, by their service times
 	limit                  float64
+	newest                 [2]Nanos // when the latest of the reads, and of the writes, that it served were sent
 	elapsed, slow, late    mean     // latency of answers: as it is; in service times; in SLA times
 	failing                mean     // share of errors among its answers
 	carried                decaying // service time sent
@@ -113,6 +114,7 @@
 	rate      float64 // one by the service time that was expected of it
 	over      bool
 	cancelled bool
+	astray    bool // its answer is not to be expected: it no longer counts as in flight
 }
 
 // txn is one request of a client, kept until it is answered and its submissions are over.
@@ -369,10 +371,11 @@
 func (g *Gateway) closed(t *txn, s *submission, r Result) {
 	s.over = true
 	t.out--
-	s.to.out--
-	s.to.flight -= s.rate
-	if s.to.sentSum -= float64(s.at) * s.rate; s.to.out == 0 {
-		s.to.flight, s.to.sentSum = 0, 0 // what rounding left
+	if !s.astray {
+		s.leaves()
+	}
+	if r == Committed {
+		s.to.newest[g.kindOf(t)] = max(s.to.newest[g.kindOf(t)], s.at)
 	}
 	if r == Moot || r == Unreachable || r == Reset { // what never came did not cost it anything
 		s.to.credit += g.expected(t.class)
@@ -390,11 +393,48 @@
 		s.to.failing.add(g.now, fadeLatency, x)
 		g.failing.add(g.now, fadeLatency, x)
 	}
-	if r == Cancelled || r == TimedOut {
+	if (r == Cancelled || r == TimedOut) && !s.astray {
 		s.to.unanswered += float64(g.now-max(s.at, s.to.quietSince)) * s.rate
 	}
 }
 
+// leaves takes a submission out of what is in flight to its member.
+func (s *submission) leaves() {
+	s.to.out--
+	s.to.flight -= s.rate
+	if s.to.sentSum -= float64(s.at) * s.rate; s.to.out == 0 {
+		s.to.flight, s.to.sentSum = 0, 0 // what rounding left
+	}
+}
+
+// strays notes that no answer is to be expected, though the member is well.
+func (s *submission) strays() {
+	s.astray = true
+	s.leaves()
+}
+
+// detourTo is how much longer the way to a zone takes than the way within this one, by the quickest answers
+// of late, which crowded members hardly change. It is no member's fault and cuts no limit.
+func (g *Gateway) detourTo(zone int) Nanos {
+	here, there := g.wayOf(g.site.Zone).least(g.now, fadeLatency), g.wayOf(zone).least(g.now, fadeLatency)
+	if here == 0 || there <= here {
+		return 0
+	}
+	return there - here
+}
+
+// overtaken: its member has served one of its kind that was sent later. Then not the member is crowded or silent,
+// but the way back from it. Writes may wait for a replica, reads for a position: neither tells of the other.
+func (g *Gateway) overtaken(t *txn, s *submission) bool { return s.at < s.to.newest[g.kindOf(t)] }
+
+// kindOf is 1 for what only a primary takes, which may wait for a replica, else 0.
+func (g *Gateway) kindOf(t *txn) int {
+	if g.site.Family.Consistency[t.class] == "mutate" {
+		return 1
+	}
+	return 0
+}
+
 // forget drops a txn whose answer is given once its submissions are over.
 func (g *Gateway) forget(t *txn) {
 	if t.done && t.group.scout == t {
