A gateway that ends serves what comes again after it crossed the end of a connection

Followed by its id and by the time since its last byte: the client asked on an idle connection while closeIdleClients closed it, unread, which the protocol allows; it came once more on a new connection ('1 sent again by clients') to the same gateway, whose clientOpened answered 57P03 and closed with the query unread, so that the reset took the word along. Dropped: closes of quiet clients in a crowd (none in that window), the end by the last deadline (all was answered 0.3 s later), late accepts (0 ms). Change: while it ends, a gateway serves new connections as before, and ends 100 ms after the last client is gone, not at once: who was sent away while it asked finds the port open. Example_crossing fails without it.

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -82,9 +82,6 @@
 }
 
 func (cs *clients) clientOpened(c gnet.Conn) ([]byte, gnet.Action) {
-	if cs.g.closing {
-		return pgwire.AppendError(nil, "FATAL", "57P03", "the gateway is ending", ""), gnet.Close
-	}
 	others := cs.g.budget.all / membersPart
 	cs.makeRoom(others+(cs.g.budget.all-others)/sparePart, leastQuiet)
 	cs.makeRoom(others+1, leastFresh) // one who comes has something to ask
@@ -192,6 +189,7 @@
 	}
 	cs.withdraw(c)
 	cs.open.Free(ref)
+	cs.g.emptied()
 }
 
 // withdraw ends what a client has asked for that goes away, or is sent away.
@@ -345,7 +343,7 @@
 			return
 		}
 		// What was read of a query is served; one that is still on its way is sent again elsewhere.
-		if cs.g.closing && waiting == 0 {
+		if cs.g.closing && waiting == 0 && c.asked { // who comes now asks once more what crossed the end of its last connection
 			cs.dismiss(ref)
 			return
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,8 +61,9 @@
 	sessions    *sessions // nil where the operator says nothing of them
 	spread      *spread   // nil where changes are each gateway's own
 
-	leaving bool // told to end
-	closing bool // and done with new work
+	leaving bool         // told to end
+	closing bool         // and sends clients away that have their answers
+	empty   decide.Nanos // since when there is none
 	last    decide.Nanos
 }
 
@@ -174,6 +175,7 @@
 // moment may take as long as its txn type allows.
 const (
 	lateComers = 700 * decide.Millisecond
+	crossing   = 100 * decide.Millisecond // for who was sent away while it asked, to connect and ask again
 	lastMargin = 500 * decide.Millisecond
 )
 
@@ -193,17 +195,32 @@
 	g.log.Info("leaving", "clients", g.clients.open.Len(), "txns", g.txns.Len())
 }
 
-// closeIdleClients is the second part of it: clients are sent away once they have their answers.
+// closeIdleClients is the second part of it: clients are sent away once they have their answers. A query may cross
+// that and come once more on a new connection, which is served: to turn it away would lose it.
 func (g *Gateway) closeIdleClients() {
 	g.closing = true
 	for _, ref := range g.clients.open.Refs() {
+		if c := g.clients.open.Get(ref); c.stage == fresh {
+			g.clients.sendAway(c)
+			continue
+		}
 		g.inputs = append(g.inputs, input{kind: inReadable, ref: ref})
 	}
+	g.emptied()
+}
+
+// emptied sets the end when the last client is gone.
+func (g *Gateway) emptied() {
+	if g.closing && g.clients.open.Len() == 0 {
+		g.empty = g.clock.now()
+		g.deadlines.Add(int64(g.empty+crossing), due{kind: dueLast})
+	}
 }
 
-// end tells gnet to end the loop once the last client is gone, or time is up.
+// end tells gnet to end the loop once the last client is gone for a moment, or time is up.
 func (g *Gateway) end() error {
-	if g.closing && (g.clients.open.Len() == 0 || g.clock.now() >= g.last) {
+	now := g.clock.now()
+	if g.closing && (g.clients.open.Len() == 0 && now >= g.empty+crossing || now >= g.last) {
 		return gneterrors.ErrEngineShutdown
 	}
 	return nil
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -741,6 +741,25 @@
 	// 0 taken and not answered
 }
 
+// A query that crosses the end of its connection comes once more on a new one. The gateway that ends serves it: it
+// turned it away, and as the query was unread the reset took the word for it along, so that the txn was lost.
+func Example_crossing() {
+	w := start(256, newMember("m", "read-write"))
+	defer w.stop()
+	idle := w.connect()
+	fmt.Println(ask(idle, sql("any", "")))
+	must(w.process.Process.Signal(syscall.SIGTERM))
+	_, err := idle.Conn().Read(make([]byte, 1))
+	fmt.Println(errors.Is(err, io.EOF), ask(w.connect(), sql("any", "")))
+	err = await(w.exited)
+	fmt.Println(err)
+	w.exited <- err
+	// Output:
+	// committed by m
+	// true committed by m
+	// <nil>
+}
+
 // Descriptors are counted before they are taken: clients past the budget are told so, and members are reached
 // all the same.
 func Example_budget() {
