A removal's test waits on events: its member holds its reads until it is told to go on

Seen: with five busy loops on six cores TestRemovalAndUndo failed in 2 of 10 runs, as reads that took 80 ms were tried elsewhere, and it ended on a sleep of 50 ms. Change: the member that is taken out hangs until the change is applied, its reads are of a type that is never sent twice, and the list stand-in tells when a gateway watches for what comes after the list in force (AwaitRead).

--- a/gateway/generations_test.go
+++ b/gateway/generations_test.go
@@ -107,11 +107,16 @@
 func TestRemovalAndUndo(t *testing.T) {
 	g0, members := group(0, 2)
 	out := members[2]
-	address, g, list := embeddedWith(t, func(c *gateway.Config) { c.Log = slog.New(slog.DiscardHandler) }, members...)
+	address, g, list := embeddedWith(t, func(c *gateway.Config) {
+		c.Log = slog.New(slog.DiscardHandler) // and reads that are never sent twice, however long their member holds them
+		c.Settings = []byte(strings.NewReplacer(`"name":"once"}]`, `"name":"once"},
+		 {"effect":"once","promiseMs":30000,"hardLimitMs":60000,"worth":1,"name":"single"}]`,
+			`"mutate","mutate"]`, `"mutate","mutate","eventual"]`, `[0,0,0,0]`, `[0,0,0,0,0]`).Replace(string(c.Settings)))
+	}, members...)
 	front := standin.NewFront(address)
 	list.AwaitTold()
 	for _, m := range members {
-		m.Delay(20 * time.Millisecond)
+		m.Delay(20 * time.Millisecond) // so that what comes at once is spread
 	}
 	reads := func(n int) (at map[string]int) {
 		at = map[string]int{}
@@ -121,8 +126,9 @@
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
-				c := front.NewClient(fmt.Sprintf("%08x", 0xd00+i), standin.Classes{Read: "any", Write: "keyed"})
+				c := front.NewClient(fmt.Sprintf("%08x", 0xd00+i), standin.Classes{Read: "single", Write: "keyed"})
 				defer c.Close()
+				c.Time = 30 * time.Second
 				if a := c.Read(0); a.Code != "" || a.Err != nil {
 					t.Error(a)
 				}
@@ -139,15 +145,15 @@
 	if at := reads(20); at[out.Name] == 0 {
 		t.Fatal("the member gets nothing to begin with", at)
 	}
-	out.Delay(80 * time.Millisecond) // slow, yet not so slow that reads are tried elsewhere
+	out.Hang(true)
 	got := make(chan map[string]int)
 	go func() { got <- reads(20) }()
 	until(func() bool { return out.Busy() > 0 })
 	changed(t, g, &routes.Document{Excluded: []routes.Member{{Name: out.Name}}}, time.Hour)
+	out.Hang(false)
 	if at := <-got; at[out.Name] == 0 {
 		t.Fatal("what was in flight did not end where it was", at)
 	}
-	out.Delay(20 * time.Millisecond)
 	if at := reads(20); at[out.Name] != 0 {
 		t.Fatal("an excluded member gets work", at)
 	}
@@ -158,9 +164,8 @@
 	}
 	changed(t, g, &routes.Document{Excluded: []routes.Member{{Name: out.Name}}}, time.Hour)
 	list.Set(members[0].Host("active"), members[1].Host("active"), out.Host("leaving"))
-	list.AwaitTold()
+	list.AwaitRead()
 	must(g.Undo(bg))
-	time.Sleep(50 * time.Millisecond) // the list has been told; nothing tells when the gateway has read it
 	if at := reads(20); at[out.Name] != 0 {
 		t.Fatal("an undo ends a drain of the list's", at)
 	}
--- a/standin/list.go
+++ b/standin/list.go
@@ -34,6 +34,7 @@
 	toldSeq int           // the latest that was given
 	times   int           // how often the one in force was given
 	told    chan struct{} // closed with the next
+	heldSeq int           // the latest that a gateway watched from: it has read that one
 }
 
 // NewList starts a list service.
@@ -92,11 +93,18 @@
 
 // AwaitToldTo waits until so many gateways, each with one watch, have been given it.
 func (s *List) AwaitToldTo(gateways int) {
+	s.await(func() bool { return s.toldSeq >= s.seq && s.times >= gateways })
+}
+
+// AwaitRead waits until a gateway watches for what comes after it: it has read it then.
+func (s *List) AwaitRead() { s.await(func() bool { return s.heldSeq >= s.seq }) }
+
+func (s *List) await(done func() bool) {
 	for {
 		s.mu.Lock()
-		told, more := s.toldSeq >= s.seq && s.times >= gateways, s.told
+		ok, more := done(), s.told
 		s.mu.Unlock()
-		if told {
+		if ok {
 			return
 		}
 		select {
@@ -114,6 +122,9 @@
 	defer s.mu.Unlock()
 	if wait, _ := strconv.Atoi(q.Get("wait_ms")); wait > 0 && q.Get("after") == fmt.Sprint(s.seq) && !s.down {
 		changed := s.changed
+		s.heldSeq = s.seq
+		close(s.told)
+		s.told = make(chan struct{})
 		s.mu.Unlock()
 		select {
 		case <-changed:
