--- a/gateway/generations_test.go
+++ b/gateway/generations_test.go
@@ -110,7 +110,7 @@
 	address, g, list := embeddedWith(t, func(c *gateway.Config) {
 		c.Log = slog.New(slog.DiscardHandler) // and reads that are never sent twice, however long their member holds them
 		c.Settings = []byte(strings.NewReplacer(`"name":"once"}]`, `"name":"once"},
-		 {"effect":"once","promiseMs":30000,"hardLimitMs":60000,"worth":1,"name":"single"}]`,
+		 {"effect":"once","promiseMs":1000,"hardLimitMs":60000,"worth":1,"name":"single"}]`,
 			`"mutate","mutate"]`, `"mutate","mutate","eventual"]`, `[0,0,0,0]`, `[0,0,0,0,0]`).Replace(string(c.Settings)))
 	}, members...)
 	front := standin.NewFront(address)
