agreement: versions that a fleet agrees on, under leases, on a virtual clock

Need: what one gateway applies, another must not contradict for longer than a stated time, while some are away; changes wait for who is stopped today. Change: a module without I/O. Not hosted yet.

--- /dev/null
+++ b/agreement/fleet_test.go
@@ -0,0 +1,605 @@
+package agreement
+
+import (
+	"container/heap"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// world is a fleet on a virtual clock: processes with clocks that run unlike, disks, and a network that loses, delays and
+// repeats. It checks, again and again, that no two gateways act on what contradicts each other.
+type world struct {
+	t       testing.TB
+	rng     *rand.Rand
+	now     int64 // real time
+	queue   events
+	seq     int
+	nodes   []*process
+	byID    map[ID]*process
+	cut     func(from, to *process) bool
+	loss    float64
+	ids     ID
+	books   map[uint64]string // by entry, as the first voter had it
+	agreed  map[string]int64  // when a version was first applied, by subject and number
+	clashes map[string]bool   // versions that contradict their predecessors
+	ops     []porcupine.Operation
+	out     []string // what happened, for transcripts
+	trace   bool
+	longest int64 // that a former version was acted on after a contradicting one was agreed on
+	sent    int
+	bytes   int
+}
+
+type process struct {
+	w       *world
+	name    string
+	id      ID
+	a       *Agreement
+	rate    float64
+	disk    [][]byte
+	epoch   uint64
+	down    bool
+	paused  bool
+	held    []func() // what came while it was paused
+	wakeSeq int
+	answers map[uint64]func(Outcome)
+	joining bool // it asks at each start until it is in the list
+}
+
+type event struct {
+	at  int64
+	seq int
+	f   func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+
+const second = int64(1e9)
+
+func newWorld(t testing.TB, seed uint64, gateways int) *world {
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), byID: map[ID]*process{}, books: map[uint64]string{}, agreed: map[string]int64{},
+		clashes: map[string]bool{}, cut: func(_, _ *process) bool { return false }, now: second}
+	for i := range gateways {
+		p := &process{w: w, name: fmt.Sprintf("g%d", i+1), rate: 1 + (w.rng.Float64()-0.5)*0.02}
+		w.nodes = append(w.nodes, p)
+		p.start(true)
+	}
+	w.after(0, w.sample)
+	return w
+}
+
+func (w *world) after(d int64, f func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now + d, w.seq, f})
+}
+
+// run lets time pass.
+func (w *world) run(span int64) {
+	for end := w.now + span; ; {
+		if len(w.queue) == 0 || w.queue[0].at > end {
+			w.now = end
+			return
+		}
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.f()
+	}
+}
+
+// until lets time pass until something holds.
+func (w *world) until(limit int64, f func() bool) bool {
+	for end := w.now + limit; w.now < end; w.run(second / 100) {
+		if f() {
+			return true
+		}
+	}
+	return f()
+}
+
+func (w *world) say(format string, x ...any) {
+	if w.trace {
+		w.out = append(w.out, fmt.Sprintf("%7.3f  ", float64(w.now-second)/1e9)+fmt.Sprintf(format, x...))
+	}
+}
+
+// start begins a life, with an empty disk a new one.
+func (p *process) start(fresh bool) {
+	w := p.w
+	if fresh {
+		delete(w.byID, p.id)
+		w.ids++
+		p.id, p.disk = w.ids*10+7, nil
+		w.byID[p.id] = p
+	}
+	p.epoch++
+	t := UsualTerms()
+	t.Self, t.Epoch, t.Seed = p.id, p.epoch<<32, uint64(w.rng.Uint32())
+	for _, o := range w.nodes[:min(3, len(w.nodes))] {
+		if o != p {
+			t.Seeds = append(t.Seeds, o.id)
+		}
+	}
+	a, err := New(t, p.disk)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	p.a, p.down, p.paused, p.held = a, false, false, nil
+	p.answers = map[uint64]func(Outcome){}
+	p.turn(func() {})
+	if p.joining {
+		p.join(nil)
+	}
+}
+
+func (p *process) clock() int64 { return int64(float64(p.w.now)*p.rate) + int64(p.id)*second }
+
+// turn has it take something and do what it decides.
+func (p *process) turn(f func()) {
+	if p.down {
+		return
+	}
+	if p.paused {
+		p.held = append(p.held, f)
+		return
+	}
+	w, epoch := p.w, p.epoch
+	p.a.Clock(p.clock())
+	f()
+	for d, ok := p.a.Next(); ok; d, ok = p.a.Next() {
+		switch d.Kind {
+		case Send:
+			w.deliver(p, d.Message)
+		case Save:
+			records, whole := d.Records, d.Whole
+			w.after(int64(w.rng.Float64()*3e6), func() {
+				if p.epoch != epoch || p.down {
+					return
+				}
+				if whole {
+					p.disk = nil
+				}
+				p.disk = append(p.disk, records...)
+				p.turn(p.a.Saved)
+			})
+		case Answer:
+			if f := p.answers[d.No]; f != nil {
+				f(d.Result)
+			}
+		case Changed:
+			w.say("%s holds %s", p.name, words(p.a.Held()))
+		case Log:
+			w.say("%s %s", p.name, d.Text)
+		case Wake:
+			p.wakeSeq++
+			no := p.wakeSeq
+			w.after(int64(float64(d.After)/p.rate)+1000, func() { // no earlier than asked, whatever is rounded
+				if p.epoch == epoch && p.wakeSeq == no {
+					p.turn(func() {})
+				}
+			})
+		}
+	}
+	w.check(p)
+}
+
+func words(m *Manifest) string {
+	var all []string
+	for _, s := range m.Subjects {
+		text := s.Name
+		if s.InForce != nil {
+			text += fmt.Sprintf(" %d", s.InForce.No)
+		}
+		if s.Next != nil {
+			text += fmt.Sprintf(", next %d", s.Next.No)
+		}
+		all = append(all, text)
+	}
+	votes := 0
+	for _, g := range m.Gateways {
+		if g.Vote {
+			votes++
+		}
+	}
+	return strings.Join(append(all, fmt.Sprintf("%d gateways, %d to vote", len(m.Gateways), votes)), "; ")
+}
+
+func (w *world) deliver(from *process, m Message) {
+	to := w.byID[m.To]
+	w.sent++
+	w.bytes += 60 + len(m.Data)
+	if to == nil || w.cut(from, to) || w.rng.Float64() < w.loss {
+		return
+	}
+	n := 1
+	if w.rng.Float64() < w.loss/4 {
+		n = 2
+	}
+	for range n {
+		delay := int64(200e3 + w.rng.Float64()*3e6)
+		if w.rng.Float64() < w.loss/4 {
+			delay += int64(w.rng.Float64() * 2e9)
+		}
+		w.after(delay, func() {
+			if w.byID[m.To] == to && !to.down && !w.cut(from, to) {
+				to.turn(func() { to.a.Heard(m) })
+			}
+		})
+	}
+}
+
+// kill ends a process; what it was saving may or may not be on its disk.
+func (p *process) kill() {
+	p.down, p.epoch = true, p.epoch+1
+	p.w.say("%s is killed", p.name)
+}
+
+func (p *process) pause(on bool) {
+	p.paused = on
+	if !on {
+		held := p.held
+		p.held = nil
+		for _, f := range held {
+			p.turn(f)
+		}
+	}
+}
+
+// check: all voters that applied the same part of the log have the same book.
+func (w *world) check(p *process) {
+	v := p.a.voter
+	if v == nil || v.book.Stamp == 0 {
+		return
+	}
+	for i := range v.book.Subjects {
+		s := &v.book.Subjects[i]
+		for _, x := range s.Versions {
+			key := fmt.Sprint(s.Name, x.No)
+			if w.agreed[key] == 0 {
+				w.agreed[key] = w.now
+				w.clashes[key] = len(x.Clashes) > 0
+				w.say("agreed on: version %d of %s by %s, contradicting %v", x.No, x.Subject, x.Who, len(x.Clashes) > 0)
+			}
+		}
+	}
+	if w.rng.IntN(20) > 0 {
+		return
+	}
+	text := string(v.book.encode())
+	if before, ok := w.books[v.applied]; !ok {
+		w.books[v.applied] = text
+	} else if before != text {
+		w.t.Fatalf("%s: two histories of entry %d:\n%s\n%s", p.name, v.applied, before, text)
+	}
+}
+
+// sample looks at who acts on what at this moment.
+func (w *world) sample() {
+	w.after(10e6, w.sample)
+	type acting struct {
+		p *process
+		s Standing
+	}
+	by := map[string][]acting{}
+	for _, p := range w.nodes {
+		if p.down || p.paused || p.clock() >= p.a.Leased() {
+			continue
+		}
+		for _, s := range p.a.Held().Subjects {
+			by[s.Name] = append(by[s.Name], acting{p, s})
+		}
+	}
+	for name, all := range by {
+		low, high := uint64(1<<62), uint64(0)
+		alone := uint64(1 << 62) // the lowest that somebody acts on alone
+		inForce := uint64(0)     // the highest that is in force somewhere
+		for _, x := range all {
+			if x.s.InForce != nil {
+				low, high, inForce = min(low, x.s.InForce.No), max(high, x.s.InForce.No), max(inForce, x.s.InForce.No)
+			}
+			if x.s.Next != nil {
+				low, high = min(low, x.s.Next.No), max(high, x.s.Next.No)
+			} else if x.s.InForce != nil {
+				alone = min(alone, x.s.InForce.No)
+			}
+		}
+		if high > low+1 && low > 0 {
+			w.t.Fatalf("at %d: versions %d to %d of %s are alive", w.now, low, high, name)
+		}
+		for no := alone + 1; no <= inForce; no++ {
+			if w.clashes[fmt.Sprint(name, no)] {
+				w.t.Fatalf("at %d: version %d of %s is in force and %d is acted on", w.now, no, name, alone)
+			}
+		}
+		for no := alone + 1; w.agreed[fmt.Sprint(name, no)] > 0; no++ {
+			if w.clashes[fmt.Sprint(name, no)] {
+				d := w.now - w.agreed[fmt.Sprint(name, no)]
+				if w.longest = max(w.longest, d); d > usualStated {
+					w.t.Fatalf("at %d: version %d of %s is acted on %d ms after %d was agreed on", w.now, alone, name, d/1e6, no)
+				}
+			}
+		}
+	}
+}
+
+var usualStated = func() int64 { t := UsualTerms(); return t.Stated() }()
+
+// ask has a gateway ask for something.
+func (p *process) ask(wish Wish, text string, patience int64, f func(Outcome)) {
+	p.turn(func() {
+		no, err := p.a.Ask(wish, []byte(text), patience)
+		if err != nil {
+			f(Outcome{Why: err.Error()})
+			return
+		}
+		p.answers[no] = f
+	})
+}
+
+// put asks for a version and keeps what became of it for the check of all of them.
+func (p *process) put(subject string, predecessor uint64, text string, clashes []string, f func(Outcome)) {
+	w, began := p.w, p.w.now
+	w.say("%s asks for a version of %s after %d", p.name, subject, predecessor)
+	done := false
+	n := len(w.ops)
+	w.ops = append(w.ops, porcupine.Operation{ClientId: n, Input: predecessor, Call: began, Output: Outcome{Wait: true}, Return: 1 << 60})
+	v := Version{Subject: subject, Predecessor: predecessor, Who: p.name, Clashes: clashes}
+	p.ask(Wish{Version: &v}, text, 8*second, func(o Outcome) {
+		if done {
+			w.t.Fatal("two outcomes")
+		}
+		done = true
+		w.say("%s is told: %+v", p.name, o)
+		if !o.Wait { // else it may be done or not, now or later
+			w.ops[n].Output, w.ops[n].Return = o, w.now
+		}
+		if f != nil {
+			f(o)
+		}
+	})
+}
+
+// register is a compare-and-set of one subject's latest version.
+var register = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		last, after, o := state.(uint64), input.(uint64), output.(Outcome)
+		switch {
+		case o.Wait: // not known: it may have been done or not, which the two ways of a call without an end cover
+			if last == after {
+				return true, last + 1
+			}
+			return true, last
+		case o.Done:
+			return last == after && o.Version == after+1, o.Version
+		}
+		return last != after, last
+	},
+}
+
+func (w *world) linearizable() {
+	if r := porcupine.CheckOperations(register, w.ops); !r {
+		w.t.Fatalf("the outcomes fit no order: %+v", w.ops)
+	}
+}
+
+// found has the first gateway begin a fleet, all join, and so many vote.
+func (w *world) found(voters int) {
+	first := w.nodes[0]
+	first.turn(func() {
+		if err := first.a.Found(Gateway{Name: first.name, Address: first.name}); err != nil {
+			w.t.Fatal(err)
+		}
+	})
+	joined := 1
+	for _, p := range w.nodes[1:] {
+		p.join(func() { joined++ })
+	}
+	if !w.until(60*second, func() bool { return joined == len(w.nodes) }) {
+		w.t.Fatal("not all have joined: ", joined)
+	}
+	for _, p := range w.nodes[1:voters] {
+		first.ask(Wish{Vote: &Voting{p.id, true}}, "", 20*second, func(o Outcome) {
+			if !o.Done {
+				w.t.Fatal(o)
+			}
+		})
+	}
+	if !w.until(60*second, func() bool { return len(first.a.voter.conf.Voters) == voters && w.leased() == len(w.nodes) }) {
+		w.t.Fatal("no fleet of so many voters: ", first.a.voter.conf, w.leased())
+	}
+}
+
+func (p *process) join(f func()) {
+	p.joining = true
+	p.ask(Wish{Join: &Gateway{ID: p.id, Name: p.name, Address: p.name}}, "", 60*second, func(o Outcome) {
+		if p.joining = !o.Done; o.Done && f != nil {
+			f()
+		}
+	})
+}
+
+func (w *world) leased() (n int) {
+	for _, p := range w.nodes {
+		if !p.down && p.clock() < p.a.Leased() {
+			n++
+		}
+	}
+	return n
+}
+
+// inForce counts the gateways that act on a version.
+func (w *world) inForce(subject string, no uint64) (n int) {
+	for _, p := range w.nodes {
+		for _, s := range p.a.Held().Subjects {
+			if s.Name == subject && s.InForce != nil && s.InForce.No == no && s.Next == nil && p.clock() < p.a.Leased() && !p.down {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (w *world) leader() *process {
+	for _, p := range w.nodes {
+		if v := p.a.voter; v != nil && !p.down && !p.paused && v.leading() && v.until() > p.clock() {
+			return p
+		}
+	}
+	return nil
+}
+
+func TestCalmFleet(t *testing.T) {
+	w := newWorld(t, 1, 5)
+	w.found(3)
+	for no, clashes := range [][]string{{"a bound"}, nil, {"a drain"}} {
+		began := w.now
+		var got Outcome
+		w.nodes[no].put("routes", uint64(no), fmt.Sprint("text ", no), clashes, func(o Outcome) { got = o })
+		if !w.until(5*second, func() bool { return w.inForce("routes", uint64(no+1)) == 5 }) {
+			t.Fatal("it does not come in force", got, words(w.nodes[0].a.Held()))
+		}
+		t.Logf("in force at all after %d ms", (w.now-began)/1e6)
+		w.run(second)
+		if !got.Done || got.Version != uint64(no+1) {
+			t.Fatal(got)
+		}
+	}
+	w.linearizable()
+}
+
+var seeds = flag.Int("seeds", 150, "days of faults by chance")
+
+// Days of faults by chance: killed, stopped, cut one way, both ways and by halves, lost disks, lost messages, while
+// operators ask for changes at any gateway. There is one history, no two act on what contradicts each other, none acts on
+// a former version past the stated time, and once all can talk again a change comes in force.
+func TestFaultsByChance(t *testing.T) {
+	longest, done, asked := int64(0), 0, 0
+	for seed := range uint64(*seeds) {
+		w := faults(t, seed, 5, 3+2*int(seed%2), 30*second)
+		longest = max(longest, w.longest)
+		for _, o := range w.ops {
+			if asked++; o.Output.(Outcome).Done {
+				done++
+			}
+		}
+	}
+	t.Logf("a former version was acted on for %d ms at most, %d ms are stated; %d of %d changes were agreed on", longest/1e6, usualStated/1e6, done, asked)
+}
+
+func faults(t testing.TB, seed uint64, gateways, voters int, span int64) *world {
+	w := newWorld(t, seed, gateways)
+	defer func() {
+		if t.Failed() {
+			t.Logf("seed %d", seed)
+		}
+	}()
+	w.found(voters)
+	any := func() *process { return w.nodes[w.rng.IntN(len(w.nodes))] }
+	wiped, no := false, 0
+	for end := w.now + span; w.now < end; w.run(int64(w.rng.Float64() * 1.5e9)) {
+		p, d := any(), int64(w.rng.Float64()*6e9)
+		switch w.rng.IntN(9) {
+		case 0:
+			if !p.down {
+				p.kill()
+				w.after(d, func() { p.start(false) })
+			}
+		case 1:
+			if !p.down && !p.paused {
+				w.say("%s is stopped for %d ms", p.name, d/1e6)
+				p.pause(true)
+				w.after(d, func() { p.pause(false) })
+			}
+		case 2:
+			w.say("%s hears nobody for %d ms", p.name, d/1e6)
+			w.severs(d, func(_, to *process) bool { return to == p })
+		case 3:
+			w.say("nobody hears %s for %d ms", p.name, d/1e6)
+			w.severs(d, func(from, _ *process) bool { return from == p })
+		case 4:
+			half := map[*process]bool{}
+			for _, x := range w.nodes {
+				half[x] = w.rng.IntN(2) == 0
+			}
+			w.say("two halves for %d ms", d/1e6)
+			w.severs(d, func(from, to *process) bool { return half[from] != half[to] })
+		case 5:
+			w.loss = w.rng.Float64() * 0.3
+			w.after(d, func() { w.loss = 0 })
+		case 6:
+			if !wiped && !p.down && seed%3 == 0 {
+				wiped = true
+				w.say("%s has lost its disk", p.name)
+				p.kill()
+				p.start(true)
+				p.join(nil)
+			}
+		default:
+			if p.down || p.paused {
+				break
+			}
+			after := uint64(0)
+			for _, s := range p.a.Held().Subjects {
+				if s.InForce != nil {
+					after = s.InForce.No
+				}
+				if s.Next != nil {
+					after = s.Next.No
+				}
+			}
+			var clashes []string
+			if w.rng.IntN(3) > 0 {
+				clashes = []string{"a bound"}
+			}
+			no++
+			p.put("routes", after, strings.Repeat(fmt.Sprint("text ", no, " "), 1+w.rng.IntN(300)), clashes, nil)
+		}
+	}
+	w.cut, w.loss = func(_, _ *process) bool { return false }, 0
+	w.run(7 * second) // stopped ones go on, killed ones have started
+	last := func() (no uint64) {
+		for _, p := range w.nodes {
+			if b := p.a.Book(); b != nil && b.Subject("routes") != nil {
+				s := b.Subject("routes")
+				no = max(no, s.Versions[len(s.Versions)-1].No)
+			}
+		}
+		return no
+	}
+	ok := false
+	for try := 0; try < 4 && !ok; try++ { // one that was given up may come in between
+		was := last()
+		any().put("routes", was, fmt.Sprint("the last ", try), []string{"a bound"}, func(o Outcome) { ok = ok || o.Done })
+		ok = w.until(10*second, func() bool { return w.inForce("routes", was+1) == len(w.nodes) }) && ok
+	}
+	if !ok {
+		t.Fatalf("seed %d: no change comes in force: %d of %d gateways may act, leader %v", seed, w.leased(), len(w.nodes), w.leader() != nil)
+	}
+	w.linearizable()
+	return w
+}
+
+// severs cuts who may not reach whom, for a time, beside what is cut already.
+func (w *world) severs(d int64, f func(from, to *process) bool) {
+	over, before := false, w.cut
+	w.cut = func(from, to *process) bool { return !over && f(from, to) || before(from, to) }
+	w.after(d, func() { over = true })
+}
--- /dev/null
+++ b/agreement/voter.go
@@ -0,0 +1,440 @@
+package agreement
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"maps"
+	"slices"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+)
+
+// Parts of a lease, and sizes of the log. Sources: ours.
+const (
+	beats       = 8   // a leader is heard this often in a lease, so that one lost beat costs nothing
+	mostEntries = 512 // after which a snapshot takes the place of the log
+	mostMessage = 900 // bytes of entries in a message: with its head it is one datagram
+	mostOut     = 32  // messages to a voter that are not acknowledged
+)
+
+// voter is the log of a gateway that votes, over raft's state machine. Who leads is decided by times of this package:
+// raft's own clock runs at the leader alone, for its heartbeats, so that none of raft's chance is in any decision.
+type voter struct {
+	a       *Agreement
+	node    *raft.RawNode
+	storage *raft.MemoryStorage
+	conf    raftpb.ConfState
+	book    *Book
+	applied uint64
+	term    uint64 // of the last entry that was applied
+
+	saving  bool
+	ready   *raft.Ready // that waits for the disk
+	compact bool        // a snapshot is due
+
+	promisedUntil int64 // no other leader gets its vote before
+	electAt       int64
+	blindUntil    int64 // it may have granted before its start what it does not know of
+	authority     int64 // until when it may grant, as its leader has said
+	grants        map[ID]grant
+
+	leads  uint64 // the term that it leads in, 0 for none
+	beatAt int64
+	peers  map[ID]*peer
+	jobs   []*job
+	opens  map[string]uint64 // versions that were put into the log to come in force
+	confAt int64             // when a change of voters may be tried again
+	wished uint64            // the stamp that its voters were last told of
+}
+
+// peer is another voter as the leader knows it.
+type peer struct {
+	acked int64  // when the latest beat was sent that it has promised by
+	echo  int64  // its time of that promise
+	run   uint64 // the start that this was in
+	low   uint64
+	sent  []sent // what it may still grant by
+}
+
+// sent is that a voter was told that it may grant until a time, if it knows a stamp.
+type sent struct {
+	stamp uint64
+	until int64
+}
+
+const (
+	recordState = iota + 1
+	recordEntry
+	recordSnapshot
+)
+
+var quiet = &raft.DefaultLogger{Logger: log.New(io.Discard, "", 0)}
+
+func newVoter(a *Agreement, s *raft.MemoryStorage, applied uint64) (*voter, error) {
+	v := &voter{a: a, storage: s, book: newBook(), applied: applied, grants: map[ID]grant{}, peers: map[ID]*peer{}}
+	node, err := raft.NewRawNode(&raft.Config{ID: uint64(a.terms.Self), ElectionTick: 10, HeartbeatTick: 1, Storage: s, Applied: applied,
+		MaxSizePerMsg: mostMessage, MaxInflightMsgs: mostOut, PreVote: true, DisableProposalForwarding: true, Logger: quiet})
+	v.node = node
+	return v, err
+}
+
+// foundVoter begins a log with one voter, by a snapshot that holds nothing but the list with it.
+func foundVoter(a *Agreement, self Gateway) (*voter, error) {
+	b := newBook()
+	b.Stamp, b.Gateways = 1, []Gateway{self}
+	v, err := voterOf(a, raftpb.Snapshot{Data: b.encode(), Metadata: raftpb.SnapshotMetadata{Index: 1, Term: 1,
+		ConfState: raftpb.ConfState{Voters: []uint64{uint64(self.ID)}}}}, raftpb.HardState{Term: 1, Commit: 1}, nil)
+	if err == nil {
+		v.starts(a.now)
+		v.promisedUntil, v.electAt, v.blindUntil = 0, 0, 0
+		v.compacted()
+	}
+	return v, err
+}
+
+// emptyVoter has nothing, and takes what its leader sends it.
+func emptyVoter(a *Agreement) (*voter, error) {
+	v, err := newVoter(a, raft.NewMemoryStorage(), 0)
+	if err == nil {
+		v.starts(a.now)
+	}
+	return v, err
+}
+
+func recallVoter(a *Agreement, records [][]byte) (*voter, error) {
+	var snapshot raftpb.Snapshot
+	var state raftpb.HardState
+	var entries []raftpb.Entry
+	for _, r := range records {
+		if len(r) == 0 {
+			return nil, errors.New("agreement: an empty record")
+		}
+		var err error
+		switch r[0] {
+		case recordState:
+			err = state.Unmarshal(r[1:])
+		case recordSnapshot:
+			err = snapshot.Unmarshal(r[1:])
+			entries = slices.DeleteFunc(entries, func(e raftpb.Entry) bool { return e.Index <= snapshot.Metadata.Index })
+		case recordEntry:
+			var e raftpb.Entry
+			if err = e.Unmarshal(r[1:]); err == nil {
+				// An entry takes the place of what stood there, and ends the log.
+				entries = append(slices.DeleteFunc(entries, func(x raftpb.Entry) bool { return x.Index >= e.Index }), e)
+			}
+		default:
+			err = fmt.Errorf("kind %d", r[0])
+		}
+		if err != nil {
+			return nil, fmt.Errorf("agreement: a record can't be read: %w", err)
+		}
+	}
+	return voterOf(a, snapshot, state, entries)
+}
+
+func voterOf(a *Agreement, snapshot raftpb.Snapshot, state raftpb.HardState, entries []raftpb.Entry) (*voter, error) {
+	s := raft.NewMemoryStorage()
+	if snapshot.Metadata.Index > 0 {
+		if err := s.ApplySnapshot(snapshot); err != nil {
+			return nil, err
+		}
+	}
+	if err := errors.Join(s.SetHardState(state), s.Append(entries)); err != nil {
+		return nil, err
+	}
+	v, err := newVoter(a, s, snapshot.Metadata.Index)
+	if err != nil {
+		return nil, err
+	}
+	v.conf = snapshot.Metadata.ConfState
+	return v, v.install(snapshot)
+}
+
+// install takes a snapshot as what was applied.
+func (v *voter) install(s raftpb.Snapshot) error {
+	if s.Metadata.Index == 0 {
+		return nil
+	}
+	b, err := decodeBook(s.Data)
+	if err != nil {
+		return err
+	}
+	v.book, v.applied, v.term, v.conf = b, s.Metadata.Index, s.Metadata.Term, s.Metadata.ConfState
+	return nil
+}
+
+func (b *Book) encode() []byte {
+	text, err := json.Marshal(b)
+	if err != nil {
+		panic(err) // it holds nothing that has no JSON
+	}
+	return text
+}
+
+func decodeBook(text []byte) (*Book, error) {
+	b := newBook()
+	if err := json.Unmarshal(text, b); err != nil {
+		return nil, fmt.Errorf("agreement: a snapshot can't be read: %w", err)
+	}
+	return b, nil
+}
+
+// starts: what it promised and granted before is forgotten, so it waits until that is over.
+func (v *voter) starts(now int64) {
+	v.promisedUntil = now + v.a.terms.Stated()
+	v.blindUntil = v.promisedUntil
+	v.electAt = v.promisedUntil + v.a.chance(v.a.terms.Lease/2)
+}
+
+// steps takes a message of the log's protocol.
+func (a *Agreement) steps(m *Message) {
+	var r raftpb.Message
+	if err := r.Unmarshal(m.Data); err != nil || ID(r.From) != m.From || ID(r.To) != a.terms.Self {
+		return
+	}
+	if a.voter == nil { // it was made a voter, and has not heard
+		if r.Type != raftpb.MsgApp && r.Type != raftpb.MsgHeartbeat && r.Type != raftpb.MsgSnap || a.holder.asMember() == nil {
+			return
+		}
+		v, err := emptyVoter(a)
+		if err != nil {
+			a.log("it can't vote: %v", err)
+			return
+		}
+		a.voter = v
+	}
+	v := a.voter
+	// Who has promised votes for nobody else, nor does who leads by a promise: so no leader is elected while another's
+	// leases last.
+	if (r.Type == raftpb.MsgVote || r.Type == raftpb.MsgPreVote) && a.now < max(v.promisedUntil, v.until()+a.terms.Stated()-a.terms.Lease) {
+		return
+	}
+	if r.Type == raftpb.MsgSnap { // its text comes by pages
+		text := a.texts.want(m.From, m.Digest, m.Size)
+		if text == nil {
+			return // it is sent again
+		}
+		r.Snapshot.Data = text
+	}
+	_ = v.node.Step(r) // what it does not want is dropped
+}
+
+// round moves the log on and does what is due.
+func (v *voter) round() {
+	v.turnsLeader()
+	if v.leads == 0 && v.a.now >= v.electAt && v.votes() {
+		v.electAt = v.a.now + v.a.terms.Lease/4 + v.a.chance(v.a.terms.Lease/2)
+		_ = v.node.Campaign()
+	}
+	if v.leads != 0 && v.a.now >= v.beatAt {
+		v.beatAt = v.a.now + v.a.terms.Lease/beats
+		v.node.Tick()
+		v.sendBeats()
+	}
+	v.work()
+	for !v.saving && v.node.HasReady() {
+		v.take(v.node.Ready())
+	}
+	v.turnsLeader()
+	v.tells()
+}
+
+func (v *voter) votes() bool { return slices.Contains(v.conf.Voters, uint64(v.a.terms.Self)) }
+
+// turnsLeader notes when it begins or ceases to lead.
+func (v *voter) turnsLeader() {
+	st := v.node.BasicStatus()
+	switch leads := st.RaftState == raft.StateLeader; {
+	case leads && v.leads != st.Term:
+		v.leads, v.beatAt, v.confAt, v.wished = st.Term, v.a.now, 0, 0
+		v.opens, v.jobs = map[string]uint64{}, nil
+		for _, p := range v.peers { // what was sent before may still be granted by
+			*p = peer{sent: p.sent}
+		}
+		v.a.log("leads the fleet's log, term %d", st.Term)
+	case !leads && v.leads != 0:
+		v.leads = 0
+		v.electAt = v.a.now + v.a.terms.Stated() + v.a.chance(v.a.terms.Lease/2)
+		v.a.log("no longer leads the fleet's log, term %d", st.Term)
+	}
+}
+
+// take has a part of the log saved, and then sent and applied.
+func (v *voter) take(rd raft.Ready) {
+	if !raft.IsEmptySnap(rd.Snapshot) {
+		if err := v.storage.ApplySnapshot(rd.Snapshot); err != nil {
+			v.a.log("a snapshot is not taken: %v", err)
+		} else if err = v.install(rd.Snapshot); err != nil {
+			v.a.log("a snapshot is not taken: %v", err)
+		}
+	}
+	if !raft.IsEmptyHardState(rd.HardState) {
+		_ = v.storage.SetHardState(rd.HardState)
+	}
+	if err := v.storage.Append(rd.Entries); err != nil {
+		v.a.log("the log is not taken: %v", err)
+	}
+	v.ready = &rd
+	if rd.MustSync || !raft.IsEmptySnap(rd.Snapshot) {
+		v.saving = true
+		if !raft.IsEmptySnap(rd.Snapshot) {
+			v.a.out = append(v.a.out, Decision{Kind: Save, Records: v.records(), Whole: true})
+			return
+		}
+		v.a.out = append(v.a.out, Decision{Kind: Save, Records: recordsOf(rd.HardState, rd.Entries)})
+		return
+	}
+	v.carryOut()
+}
+
+func (v *voter) saved() {
+	if v.saving {
+		v.saving = false
+		v.carryOut()
+	}
+}
+
+// carryOut sends and applies what was saved.
+func (v *voter) carryOut() {
+	rd := v.ready
+	if rd == nil {
+		return
+	}
+	v.ready = nil
+	for i := range rd.Messages {
+		v.sendRaft(&rd.Messages[i])
+	}
+	for i := range rd.CommittedEntries {
+		v.apply(&rd.CommittedEntries[i])
+	}
+	v.node.Advance(*rd)
+	if first, err := v.storage.FirstIndex(); err == nil && (v.compact || v.applied >= first+mostEntries) {
+		v.compact = false
+		v.compacted()
+	}
+}
+
+func (v *voter) sendRaft(r *raftpb.Message) {
+	m := Message{Kind: Raft, To: ID(r.To)}
+	if r.Type == raftpb.MsgSnap { // its text is fetched by pages; what is sent says which
+		s := *r.Snapshot
+		m.Digest, m.Size = v.a.texts.offer(s.Data), len(s.Data)
+		s.Data = nil
+		r.Snapshot = &s
+		defer v.node.ReportSnapshot(r.To, raft.SnapshotFinish) // a lost one is found out by the next probe
+	}
+	var err error
+	if m.Data, err = r.Marshal(); err == nil {
+		v.a.send(m)
+	}
+}
+
+func (v *voter) apply(e *raftpb.Entry) {
+	v.applied, v.term = e.Index, e.Term
+	switch e.Type {
+	case raftpb.EntryConfChange:
+		var cc raftpb.ConfChange
+		if cc.Unmarshal(e.Data) == nil {
+			v.conf = *v.node.ApplyConfChange(cc)
+			v.compact = true // who is new takes no snapshot that does not name it
+		}
+	case raftpb.EntryNormal:
+		var x entry
+		if len(e.Data) == 0 || json.Unmarshal(e.Data, &x) != nil {
+			return
+		}
+		v.book.apply(e.Index, &x)
+	}
+}
+
+// compacted puts a snapshot in the place of the log so far.
+func (v *voter) compacted() {
+	if _, err := v.storage.CreateSnapshot(v.applied, &v.conf, v.book.encode()); err != nil && !errors.Is(err, raft.ErrSnapOutOfDate) {
+		v.a.log("no snapshot: %v", err)
+		return
+	}
+	if err := v.storage.Compact(v.applied); err != nil && !errors.Is(err, raft.ErrCompacted) {
+		v.a.log("no snapshot: %v", err)
+	}
+	v.saving = true
+	v.a.out = append(v.a.out, Decision{Kind: Save, Records: v.records(), Whole: true})
+}
+
+// records are all that a start needs.
+func (v *voter) records() [][]byte {
+	s, _ := v.storage.Snapshot()
+	state, _, _ := v.storage.InitialState()
+	first, _ := v.storage.FirstIndex()
+	last, _ := v.storage.LastIndex()
+	var entries []raftpb.Entry
+	if last >= first {
+		entries, _ = v.storage.Entries(first, last+1, 1<<62)
+	}
+	text, err := s.Marshal()
+	if err != nil {
+		panic(err)
+	}
+	return append([][]byte{append([]byte{recordSnapshot}, text...)}, recordsOf(state, entries)...)
+}
+
+func recordsOf(state raftpb.HardState, entries []raftpb.Entry) (all [][]byte) {
+	for i := range entries {
+		text, err := entries[i].Marshal()
+		if err != nil {
+			panic(err)
+		}
+		all = append(all, append([]byte{recordEntry}, text...))
+	}
+	if !raft.IsEmptyHardState(state) {
+		text, err := state.Marshal()
+		if err != nil {
+			panic(err)
+		}
+		all = append(all, append([]byte{recordState}, text...))
+	}
+	return all
+}
+
+// leading tells that it leads and has applied all that was agreed on before.
+func (v *voter) leading() bool { return v.leads != 0 && v.term == v.leads }
+
+// propose puts an entry into the log.
+func (v *voter) propose(e entry) bool {
+	text, err := json.Marshal(e)
+	return err == nil && v.node.Propose(text) == nil
+}
+
+// others are the other voters, those that only learn too, in order.
+func (v *voter) others() (ids []ID) {
+	for _, id := range append(slices.Clone(v.conf.Voters), v.conf.Learners...) {
+		if ID(id) != v.a.terms.Self {
+			ids = append(ids, ID(id))
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (v *voter) peer(id ID) *peer {
+	if v.peers[id] == nil {
+		v.peers[id] = &peer{}
+	}
+	return v.peers[id]
+}
+
+func (v *voter) due() int64 {
+	if v.leads != 0 {
+		return v.beatAt
+	}
+	if !v.votes() {
+		return v.a.now + v.a.terms.Lease
+	}
+	return v.electAt
+}
+
+// peersInOrder gives all voters that it ever told that they may grant.
+func (v *voter) peersInOrder() []ID { return slices.Sorted(maps.Keys(v.peers)) }
