agreement: approved transcripts, wishes go on when their text has come

Transcripts of whole exchanges under agreement/testdata, from the virtual clock to the byte: a calm change, a leader killed half-way, a cut and its end, a stopped gateway, two operators, a new voter. Reading them found: a wish waited 250 ms for a second telling although its text had come; of two wishes in one round the second was never put again once the first was in force, so its operator was not told by whom (at fault: job.put stayed); a voter that votes no more asked itself for its lease until that ran out.

--- a/agreement/agreement.go
+++ b/agreement/agreement.go
@@ -121,6 +121,7 @@
 	texts  texts
 	asks   []*ask
 	asked  uint64
+	comes  []Message // wishes whose text is being fetched
 }
 
 // New makes one of what was saved, nothing for a gateway that does not vote or never did.
@@ -218,6 +219,7 @@
 		a.holder.round()
 		a.texts.round()
 		a.repeatAsks()
+		a.texted()
 		if len(a.local) > 0 {
 			continue
 		}
--- a/agreement/asks.go
+++ b/agreement/asks.go
@@ -12,6 +12,9 @@
 // mostAsks is how many wishes a gateway has under way.
 const mostAsks = 8
 
+// mostComing is how many wishes wait for their texts; others come again.
+const mostComing = 16
+
 // ask is a wish of this gateway.
 type ask struct {
 	no      uint64
@@ -115,7 +118,10 @@
 	var text []byte
 	if m.Size > 0 {
 		if text = a.texts.want(m.From, m.Digest, m.Size); text == nil {
-			return // it is told again until all of it is here
+			if len(a.comes) < mostComing && !slices.ContainsFunc(a.comes, func(x Message) bool { return string(x.Data) == string(m.Data) }) {
+				a.comes = append(a.comes, *m)
+			}
+			return
 		}
 	}
 	switch _, leader, _, _ := a.Role(); {
@@ -139,6 +145,21 @@
 	}
 }
 
+// texted takes wishes whose text has come; one whose text does not come is told again by its gateway.
+func (a *Agreement) texted() {
+	for i := 0; i < len(a.comes); i++ {
+		m := a.comes[i]
+		here := a.texts.get(m.Digest) != nil
+		if here || a.texts.failed(m.Digest) {
+			a.comes = slices.Delete(a.comes, i, i+1)
+			i--
+		}
+		if here {
+			a.proposed(&m)
+		}
+	}
+}
+
 func (a *Agreement) tell(to ID, r result) {
 	data, err := json.Marshal(r)
 	if err == nil {
--- a/agreement/book.go
+++ b/agreement/book.go
@@ -193,8 +193,9 @@
 	return Outcome{}, false
 }
 
-// apply carries out an entry. All voters come to the same, so it depends on nothing else.
-func (b *Book) apply(index uint64, e *entry) {
+// apply carries out an entry. All voters come to the same, so it depends on nothing else. It tells whether it is a wish
+// that has to wait.
+func (b *Book) apply(index uint64, e *entry) (waits bool) {
 	switch {
 	case e.Part != nil:
 		b.addPart(e.Part)
@@ -204,15 +205,16 @@
 		}
 	case e.Wish != nil:
 		if slices.ContainsFunc(b.Answers, func(x answered) bool { return x.Origin == e.Wish.Origin && x.No >= e.Wish.No }) {
-			return // it came twice, or so late that its gateway has gone on to others
+			return false // it came twice, or so late that its gateway has gone on to others
 		}
 		out := b.grantWish(index, &e.Wish.Wish)
 		if out.Wait {
-			return // it may come again
+			return true
 		}
 		b.Answers = slices.DeleteFunc(b.Answers, func(x answered) bool { return x.Origin == e.Wish.Origin })
 		b.Answers = append(b.Answers, answered{e.Wish.Origin, e.Wish.No, out})
 	}
+	return false
 }
 
 func (b *Book) addPart(p *part) {
--- a/agreement/fleet_test.go
+++ b/agreement/fleet_test.go
@@ -30,7 +30,8 @@
 	ops     []porcupine.Operation
 	out     []string // what happened, for transcripts
 	trace   bool
-	longest int64 // that a former version was acted on after a contradicting one was agreed on
+	leases  map[string]bool // who has one, as it was told
+	longest int64           // that a former version was acted on after a contradicting one was agreed on
 	sent    int
 	bytes   int
 }
@@ -293,6 +294,16 @@
 // sample looks at who acts on what at this moment.
 func (w *world) sample() {
 	w.after(10e6, w.sample)
+	for _, p := range w.nodes {
+		has := !p.down && !p.paused && p.clock() < p.a.Leased()
+		if w.trace && !p.down && !p.paused && w.leases[p.name] == has { // kept as who has none, all have to begin with
+			if w.leases[p.name] = !has; has {
+				w.say("%s may act again", p.name)
+			} else {
+				w.say("%s is careful: its lease has run out", p.name)
+			}
+		}
+	}
 	type acting struct {
 		p *process
 		s Standing
--- a/agreement/holder.go
+++ b/agreement/holder.go
@@ -82,7 +82,8 @@
 
 // voter is whom it asks: itself, where it votes and may grant.
 func (h *holder) voter() ID {
-	if v := h.a.voter; v != nil && (v.mayGrant() > h.a.now || len(h.voters) == 0) {
+	me := h.asMember()
+	if v := h.a.voter; v != nil && (len(h.voters) == 0 || v.mayGrant() > h.a.now && (me == nil || me.Vote)) {
 		return h.a.terms.Self
 	}
 	return h.voters[0]
--- /dev/null
+++ b/agreement/transcripts_test.go
@@ -0,0 +1,117 @@
+package agreement
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+// The files under testdata are read and approved by a person: what operators ask and are told, what each gateway holds,
+// when leases run out and come back, who leads. `go test ./agreement -run Transcripts -update` writes them anew.
+func TestTranscripts(t *testing.T) {
+	tell := func(o Outcome) {}
+	cases := map[string]func(w *world){
+		"calm": func(w *world) {
+			w.nodes[3].put("routes", 0, "first", []string{"a bound"}, tell)
+			w.run(3 * second)
+			w.nodes[4].put("routes", 1, "second", nil, tell)
+			w.run(2 * second)
+			w.nodes[3].put("routes", 2, "third", []string{"a drain"}, tell)
+			w.run(2 * second)
+		},
+		"leader-killed": func(w *world) {
+			w.nodes[3].put("routes", 0, "first", []string{"a bound"}, tell)
+			p := w.leader()
+			w.until(second, func() bool { return w.agreed["routes1"] > 0 })
+			p.kill()
+			w.run(8 * second)
+			p.start(false)
+			w.say("%s is started again", p.name)
+			w.run(5 * second)
+		},
+		"cut": func(w *world) {
+			w.say("g4 and g5 are cut off from the others")
+			w.cut = func(from, to *process) bool { return (from.name >= "g4") != (to.name >= "g4") }
+			w.nodes[0].put("routes", 0, "of the many", []string{"a tenant moved"}, tell)
+			w.nodes[3].put("routes", 0, "of the few", []string{"a tenant moved"}, tell)
+			w.run(9 * second)
+			w.say("all can talk again")
+			w.cut = func(_, _ *process) bool { return false }
+			w.run(4 * second)
+			w.nodes[3].put("routes", 0, "of the few", []string{"a tenant moved"}, tell)
+			w.run(2 * second)
+		},
+		"stopped": func(w *world) {
+			w.nodes[0].put("routes", 0, "first", []string{"a bound"}, tell)
+			w.run(3 * second)
+			w.say("g5 is stopped")
+			w.nodes[4].pause(true)
+			w.run(second)
+			w.nodes[0].put("routes", 1, "second", []string{"a drain"}, tell)
+			w.run(6 * second)
+			w.say("g5 goes on")
+			w.nodes[4].pause(false)
+			w.run(second)
+		},
+		"two-operators": func(w *world) {
+			w.nodes[3].put("routes", 0, "of one", []string{"a bound"}, tell)
+			w.nodes[4].put("routes", 0, "of the other", []string{"a bound"}, tell)
+			w.run(10 * second)
+		},
+		"new-voter": func(w *world) {
+			w.nodes[3].ask(Wish{Vote: &Voting{w.nodes[3].id, true}}, "", 5*second, func(o Outcome) { w.say("g4 is told: %+v", o) })
+			w.run(4 * second)
+			w.nodes[3].ask(Wish{Vote: &Voting{w.nodes[1].id, false}}, "", 5*second, func(o Outcome) { w.say("g4 is told: %+v", o) })
+			w.run(4 * second)
+			w.say("votes: g2 %v, g4 %v", w.nodes[1].a.voter.votes(), w.nodes[3].a.voter.votes())
+		},
+	}
+	for name, play := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 7, 5)
+			w.found(3)
+			w.run(3 * second)
+			w.trace, w.leases = true, map[string]bool{}
+			began := w.now
+			play(w)
+			for i, line := range w.out {
+				at := 0.0
+				_, _ = fmt.Sscanf(line, "%f", &at)
+				w.out[i] = fmt.Sprintf("%7.3f%s", at-float64(began-second)/1e9, line[7:])
+			}
+			goldie.New(t, goldie.WithNameSuffix(".txt")).Assert(t, name, []byte(strings.Join(w.out, "\n")+"\n"))
+		})
+	}
+}
+
+// What a fleet costs, and how long a change takes. Run by hand: -bench Fleet -benchtime 1x.
+func BenchmarkFleet(b *testing.B) {
+	for _, n := range []int{5, 300, 2000} {
+		for _, away := range []int{0, 1, n / 5} {
+			b.Run(fmt.Sprintf("%d gateways, %d away", n, away), func(b *testing.B) {
+				for range b.N {
+					w := newWorld(b, 1, n)
+					w.found(3)
+					w.run(5 * second)
+					for _, p := range w.nodes[n-away:] {
+						p.pause(true)
+					}
+					w.run(5 * second)
+					sent, bytes := w.sent, w.bytes
+					w.run(10 * second)
+					b.ReportMetric(float64(w.sent-sent)/10/float64(n), "messages/gateway/s")
+					b.ReportMetric(float64(w.bytes-bytes)/10/float64(n), "B/gateway/s")
+					for no := range uint64(2) { // the second, as nothing contradicts the first
+						began := w.now
+						w.nodes[0].put("routes", no, strings.Repeat(fmt.Sprint("text ", no), 1000), []string{"a bound"}, nil)
+						w.until(20*second, func() bool { return w.inForce("routes", no+1) == n-away })
+						b.ReportMetric(float64(w.now-began)/1e6, "ms/change")
+						w.run(5 * second)
+					}
+				}
+			})
+		}
+	}
+}
--- a/agreement/voter.go
+++ b/agreement/voter.go
@@ -347,7 +347,14 @@
 		if len(e.Data) == 0 || json.Unmarshal(e.Data, &x) != nil {
 			return
 		}
-		v.book.apply(e.Index, &x)
+		if !v.book.apply(e.Index, &x) {
+			return
+		}
+		for _, j := range v.jobs {
+			if j.origin == x.Wish.Origin && j.no == x.Wish.No {
+				j.put, j.offset = false, 0
+			}
+		}
 	}
 }
 
