agreement: a gateway says that it knows a version once its host acts on it

Need: a host compiles a document beside its loop; until that is done the gateway acts on the former one, so it must not say that it knows the new one. Prepare, Coming and Adopt take the place of Changed.

--- a/agreement/agreement.go
+++ b/agreement/agreement.go
@@ -90,7 +90,7 @@
 const (
 	Send    DecisionKind = iota // Message
 	Save                        // Records are to be on the disk, in the place of all former ones if Whole; then Saved is called
-	Changed                     // Held tells something else now
+	Prepare                     // Coming tells what is to be acted on; once the host does, it calls Adopt
 	Answer                      // of Ask number No: Result
 	Wake                        // one more round After so many nanoseconds
 	Log
--- a/agreement/fleet_test.go
+++ b/agreement/fleet_test.go
@@ -184,8 +184,19 @@
 			if f := p.answers[d.No]; f != nil {
 				f(d.Result)
 			}
-		case Changed:
-			w.say("%s holds %s", p.name, words(p.a.Held()))
+		case Prepare:
+			stamp := p.a.Coming().Stamp
+			w.after(int64(w.rng.Float64()*5e6), func() {
+				if p.epoch != epoch || p.down {
+					return
+				}
+				p.turn(func() {
+					before := p.a.Held().Stamp
+					if p.a.Adopt(stamp); p.a.Held().Stamp > before {
+						w.say("%s holds %s", p.name, words(p.a.Held()))
+					}
+				})
+			})
 		case Log:
 			w.say("%s %s", p.name, d.Text)
 		case Wake:
--- a/agreement/holder.go
+++ b/agreement/holder.go
@@ -22,6 +22,7 @@
 	until    int64
 	manifest Manifest
 	next     *Manifest // of which texts are fetched
+	coming   *Manifest // that the host prepares for
 	from     ID        // from whom
 	digest   Digest    // of the manifest that is fetched
 	size     int
@@ -35,8 +36,23 @@
 // Held is what this gateway holds of what is agreed on.
 func (a *Agreement) Held() *Manifest { return &a.holder.manifest }
 
-// Text gives the text of a version that Held tells of, nil if it is not kept.
-func (a *Agreement) Text(d Digest) []byte { return a.texts.held[d] }
+// Coming is what the host is to act on next, nil if that is what Held tells.
+func (a *Agreement) Coming() *Manifest { return a.holder.coming }
+
+// Adopt tells that the host acts on what Coming told, if that was of this stamp: then this gateway says that it knows it.
+func (a *Agreement) Adopt(stamp uint64) {
+	h := &a.holder
+	if h.coming == nil || h.coming.Stamp != stamp {
+		return
+	}
+	h.manifest, h.coming, h.next = *h.coming, nil, nil
+	a.texts.keep(&h.manifest)
+	h.follow()
+	h.ask()
+}
+
+// Text gives the text of a version that Held or Coming tells of, nil if it is not kept.
+func (a *Agreement) Text(d Digest) []byte { return a.texts.get(d) }
 
 // Book is all that is agreed on as this voter has it, nil at a gateway that does not vote.
 func (a *Agreement) Book() *Book {
@@ -107,7 +123,7 @@
 
 // fetches gets what it lacks of the latest that it heard of: the manifest, then its texts. It holds all of it or none.
 func (h *holder) fetches() {
-	if h.stamp <= h.manifest.Stamp {
+	if h.stamp <= h.manifest.Stamp || h.coming != nil && h.stamp <= h.coming.Stamp {
 		return
 	}
 	if h.next == nil {
@@ -140,11 +156,10 @@
 	if !whole {
 		return
 	}
-	h.manifest, h.next, h.stamp = *h.next, nil, h.next.Stamp
-	h.a.texts.keep(&h.manifest)
-	h.follow()
-	h.a.out = append(h.a.out, Decision{Kind: Changed})
-	h.ask()
+	if h.coming == nil || h.coming.Stamp < h.next.Stamp {
+		h.coming = h.next
+		h.a.out = append(h.a.out, Decision{Kind: Prepare})
+	}
 }
 
 // follow takes over who votes: the one that it asks stays if it still does.
