--- a/agreement/voter.go
+++ b/agreement/voter.go
@@ -119,7 +119,7 @@
 			err = state.Unmarshal(r[1:])
 		case recordSnapshot:
 			err = snapshot.Unmarshal(r[1:])
-			entries = slices.DeleteFunc(entries, func(e raftpb.Entry) bool { return e.Index <= snapshot.Metadata.Index })
+			entries, state = nil, raftpb.HardState{} // what of them still holds is told again behind it
 		case recordEntry:
 			var e raftpb.Entry
 			if err = e.Unmarshal(r[1:]); err == nil {
@@ -406,6 +406,14 @@
 	return all
 }
 
+// Records are all that New needs, in the place of all that Save gave so far; none for a gateway that does not vote.
+func (a *Agreement) Records() [][]byte {
+	if a.voter == nil {
+		return nil
+	}
+	return a.voter.records()
+}
+
 // leading tells that it leads and has applied all that was agreed on before.
 func (v *voter) leading() bool { return v.leads != 0 && v.term == v.leads }
 
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,314 @@
+// Package fleet hosts what gateways decide together: it carries the messages of package agreement between gateways,
+// keeps the log of those that vote, and tells the event loop what is agreed on. All of it belongs to that loop, but for
+// the reading of datagrams and the writing of the disk.
+//
+// fleet.go is the host, datagrams.go the address for other gateways, wire.go the form of messages, disk.go what
+// outlives the process.
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"net/netip"
+	"slices"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"magpieglade/agreement"
+	"magpieglade/internal/peerwire"
+)
+
+// Plan is what the operator says of the agreement.
+type Plan struct {
+	Terms   agreement.Terms // Self, Epoch, Seed and Seeds are set by New
+	Name    string          // of this gateway, in the list
+	Zone    string
+	Listen  netip.AddrPort // where this gateway takes what others send
+	Build   string
+	Form    int              // of settings that this build reads
+	Address netip.AddrPort   // at which others reach it: Listen, where nothing stands between
+	Ask     []netip.AddrPort // gateways that vote, or did when this was written
+	Folder  string           // where a gateway that votes keeps the log; without one it never votes
+	Keys    peerwire.Keys
+	Serve   bool // txns that no tenant's setting speaks of, while this gateway can't renew: served, not declined
+}
+
+// Check names what is wrong with it.
+func (p *Plan) Check() error {
+	t := p.Terms
+	t.Self = 1
+	switch {
+	case p.Name == "":
+		return errors.New("agreement: the gateway has no name")
+	case !p.Listen.IsValid() || !p.Listen.Addr().Is4():
+		return errors.New("agreement: listen is no IPv4 address with a port")
+	case !p.Address.IsValid() || !p.Address.Addr().Is4() || p.Address.Port() == 0:
+		return errors.New("agreement: address is no IPv4 address with a port")
+	case p.Folder == "" && len(p.Ask) == 0:
+		return errors.New("agreement: it has neither a folder, to vote, nor voters to ask")
+	}
+	if err := p.Keys.Check(); err != nil {
+		return fmt.Errorf("agreement: %w", err)
+	}
+	return t.Check()
+}
+
+// Host is what it needs of the event loop.
+type Host interface {
+	Post(f func())                          // run something on the loop, from any goroutine
+	Now() int64                             // nanoseconds of a clock that never goes back, 0 long before the start
+	WakeAfter(span int64)                   // have Turn called again
+	Prepare(m *agreement.Manifest)          // have all that arrives from some moment on be decided by it, and call Adopt then
+	Outcome(no uint64, o agreement.Outcome) // of Ask
+	Logger() *slog.Logger                   //
+}
+
+// Fleet is one gateway's part.
+type Fleet struct {
+	plan   *Plan
+	host   Host
+	module *agreement.Agreement
+	me     identity
+	link   *Datagrams
+	sealer *peerwire.Sealer
+	disk   *disk
+	known  map[agreement.ID]netip.AddrPort // by the list, by the plan, or by what came from there
+	out    []byte
+	body   []byte
+	joinNo uint64 // the wish to be in the list that is under way
+	joined bool
+	lost   uint64
+	refuse map[error]int
+	ended  bool
+}
+
+// Open takes up what a former run left. link is the address that the gateway has for others.
+func Open(p *Plan, h Host, link *Datagrams, seed uint64) (*Fleet, error) {
+	me, err := identify(p.Folder, uint64(time.Now().UnixNano()))
+	if err != nil {
+		return nil, fmt.Errorf("agreement: %w", err)
+	}
+	f := &Fleet{plan: p, host: h, me: me, link: link, known: map[agreement.ID]netip.AddrPort{}, refuse: map[error]int{}}
+	if f.sealer, err = peerwire.NewSealer(uint64(me.ID), uint32(me.Epoch>>16), p.Keys); err != nil {
+		return nil, err
+	}
+	var records [][]byte
+	if f.disk, records, err = openDisk(p.Folder, func(text string, err error) { h.Logger().Error("agreement: "+text, "why", err) }, f.wanted); err != nil {
+		return nil, fmt.Errorf("agreement: %w", err)
+	}
+	t := p.Terms
+	t.Self, t.Epoch, t.Seed = me.ID, me.Epoch, seed
+	for _, a := range p.Ask {
+		if a != p.Address {
+			id := seedID(a)
+			f.known[id] = a
+			t.Seeds = append(t.Seeds, id)
+		}
+	}
+	if f.module, err = agreement.New(t, records); err != nil {
+		return nil, errors.Join(err, f.disk.close())
+	}
+	return f, nil
+}
+
+// seedID stands for whoever is at an address, until the list tells its ID.
+func seedID(a netip.AddrPort) agreement.ID {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(a.String()))
+	return agreement.ID(h.Sum64() | 1<<63)
+}
+
+// Close ends it; nothing is posted afterwards that it would take.
+func (f *Fleet) Close() error {
+	f.ended = true
+	return f.disk.close()
+}
+
+// Heard takes a datagram.
+func (f *Fleet) Heard(d Datagram) {
+	from, body, err := f.sealer.Open(d.Text)
+	var m agreement.Message
+	if err == nil {
+		m, err = readMessage(body)
+	}
+	if err != nil {
+		if f.refuse[err]++; f.refuse[err] == 1 {
+			f.host.Logger().Warn("message of the agreement refused", "why", err, "from", d.From)
+		}
+		return
+	}
+	if m.To == 0 {
+		m.To = f.me.ID
+	}
+	m.From = agreement.ID(from)
+	if _, listed := f.known[m.From]; !listed {
+		f.known[m.From] = d.From
+	}
+	f.module.Clock(f.host.Now())
+	f.module.Heard(m)
+}
+
+// Turn carries out what the module decides until there is nothing left.
+func (f *Fleet) Turn() {
+	f.module.Clock(f.host.Now())
+	f.join()
+	for d, ok := f.module.Next(); ok; d, ok = f.module.Next() {
+		switch d.Kind {
+		case agreement.Send:
+			f.send(&d.Message)
+		case agreement.Save:
+			f.save(d.Records, d.Whole)
+		case agreement.Prepare:
+			f.host.Prepare(f.module.Coming())
+		case agreement.Answer:
+			if d.No == f.joinNo {
+				f.joinNo, f.joined = 0, d.Result.Done
+				continue
+			}
+			f.host.Outcome(d.No, d.Result)
+		case agreement.Wake:
+			f.host.WakeAfter(d.After)
+		case agreement.Log:
+			f.host.Logger().Info("agreement: " + d.Text)
+		}
+	}
+}
+
+// join has this gateway in the list, once in each of its lives; one that is taken out stays out until it starts again.
+func (f *Fleet) join() {
+	if f.joined || f.joinNo != 0 {
+		return
+	}
+	if v, _, _, _ := f.module.Role(); !v && len(f.plan.Ask) == 0 {
+		return // nobody has founded the fleet yet
+	}
+	f.joinNo, _ = f.module.Ask(agreement.Wish{Join: f.entry()}, nil, f.plan.Terms.Stated()*2)
+}
+
+func (f *Fleet) entry() *agreement.Gateway {
+	return &agreement.Gateway{ID: f.me.ID, Name: f.plan.Name, Address: f.plan.Address.String(), Zone: f.plan.Zone, Build: f.plan.Build, Form: f.plan.Form}
+}
+
+func (f *Fleet) send(m *agreement.Message) {
+	to, ok := f.known[m.To]
+	if !ok {
+		f.lost++
+		return
+	}
+	x := *m
+	if x.To == seedID(to) {
+		x.To = 0
+	}
+	var err error
+	if f.body, err = appendMessage(f.body[:0], &x); err == nil {
+		f.out, err = f.sealer.Seal(f.out[:0], f.body)
+	}
+	if err != nil || !f.link.Send(f.out, &unix.SockaddrInet4{Port: int(to.Port()), Addr: to.Addr().As4()}) {
+		f.lost++
+	}
+}
+
+// save has records on the disk, again and again while it takes none: a voter that can't keep what it says says nothing.
+func (f *Fleet) save(records [][]byte, whole bool) {
+	if f.disk.store == nil {
+		f.host.Logger().Error("agreement: this gateway has no folder and can't vote")
+		return
+	}
+	f.disk.store.Append(records, func(err error) {
+		f.host.Post(func() {
+			switch {
+			case f.ended:
+			case err != nil:
+				f.host.Logger().Error("agreement: the log is not kept, this gateway does not vote meanwhile", "why", err)
+				time.AfterFunc(time.Second, func() { f.host.Post(func() { f.save(records, whole) }) })
+			default:
+				if whole {
+					f.disk.store.Snapshot(records)
+				}
+				f.module.Clock(f.host.Now())
+				f.module.Saved()
+			}
+		})
+	})
+}
+
+// wanted: the store asks for all records in the place of those before, as it has grown or takes none.
+func (f *Fleet) wanted() {
+	f.host.Post(func() {
+		if !f.ended && f.module != nil {
+			f.disk.store.Snapshot(f.module.Records())
+		}
+	})
+}
+
+// Adopt tells that txns are decided by what was prepared, if that was of this stamp.
+func (f *Fleet) Adopt(stamp uint64) {
+	f.module.Clock(f.host.Now())
+	f.module.Adopt(stamp)
+	for _, g := range f.module.Held().Gateways {
+		if a, err := netip.ParseAddrPort(g.Address); err == nil {
+			f.known[g.ID] = a
+		}
+	}
+	for id := range f.known { // of those that left, and of seeds whose place the list has taken
+		if id>>63 == 0 && !slices.ContainsFunc(f.module.Held().Gateways, func(g agreement.Gateway) bool { return g.ID == id }) {
+			delete(f.known, id)
+		}
+	}
+}
+
+// Ask has the fleet agree on something; Host.Outcome tells what became of it.
+func (f *Fleet) Ask(w agreement.Wish, text []byte, patience time.Duration) (uint64, error) {
+	f.module.Clock(f.host.Now())
+	return f.module.Ask(w, text, int64(patience))
+}
+
+// Found begins a fleet with this gateway as its one voter.
+func (f *Fleet) Found() error {
+	if f.disk.store == nil {
+		return errors.New("this gateway has no folder to keep the log in")
+	}
+	f.module.Clock(f.host.Now())
+	if err := f.module.Found(*f.entry()); err != nil {
+		return err
+	}
+	f.joined = true
+	return nil
+}
+
+// Leased is until when this gateway may act on what it holds.
+func (f *Fleet) Leased() int64 { return f.module.Leased() }
+
+// Held is what it holds, and Text the text of one of its versions.
+func (f *Fleet) Held() *agreement.Manifest { return f.module.Held() }
+
+// Text gives a version's.
+func (f *Fleet) Text(d agreement.Digest) []byte { return f.module.Text(d) }
+
+// Plan is what the operator said.
+func (f *Fleet) Plan() *Plan { return f.plan }
+
+// Status is how this gateway stands to the fleet.
+type Status struct {
+	Self    agreement.ID
+	Votes   bool
+	Leader  agreement.ID
+	Term    uint64
+	Left    int64 // of its lease; below 0 it is careful
+	Stated  int64
+	Held    agreement.Manifest
+	History []agreement.Subject // at one that votes
+}
+
+// Status tells it.
+func (f *Fleet) Status() Status {
+	s := Status{Self: f.me.ID, Left: f.Leased() - f.host.Now(), Stated: f.plan.Terms.Stated(), Held: *f.Held()}
+	s.Votes, s.Leader, s.Term, _ = f.module.Role()
+	if b := f.module.Book(); b != nil {
+		s.History = slices.Clone(b.Subjects)
+	}
+	return s
+}
--- /dev/null
+++ b/gateway/agreed.go
@@ -0,0 +1,338 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"magpieglade/agreement"
+	"magpieglade/fleet"
+	"magpieglade/rollout"
+	"magpieglade/routes"
+)
+
+// subjectRoutes is the subject of the operator's routes, tenants, limits and members by hand.
+const subjectRoutes = "routes"
+
+// askPatience is how long a wish of an operator may take: some elections, within what the control socket waits.
+const askPatience = 9 * time.Second
+
+// agreed is the gateway's part of what the fleet agrees on. It belongs to the loop.
+type agreed struct {
+	g        *Gateway
+	f        *fleet.Fleet
+	held     bool // it has held something since its start
+	careful  bool // as logged
+	waits    map[uint64]func(agreement.Outcome)
+	prepared *prepared
+	known    map[agreement.Digest]*generation // by their texts, those that are alive
+}
+
+// prepared is a manifest whose texts are compiled, and which is not yet in force here.
+type prepared struct {
+	stamp         uint64
+	inForce, next *generation
+	staged        bool
+}
+
+func openAgreed(g *Gateway, seed uint64) (*agreed, error) {
+	a := &agreed{g: g, waits: map[uint64]func(agreement.Outcome){}, known: map[agreement.Digest]*generation{}}
+	var err error
+	a.f, err = fleet.Open(g.config.Agreement, a, g.link, seed)
+	return a, err
+}
+
+// Post, Now, WakeAfter and Logger are for fleet.Host.
+func (a *agreed) Post(f func()) { a.g.post(f) }
+
+// Now is the gateway's clock.
+func (a *agreed) Now() int64 { return int64(a.g.clock.now()) }
+
+// WakeAfter has a turn come.
+func (a *agreed) WakeAfter(span int64) {
+	a.g.deadlines.Add(a.Now()+span, due{kind: dueWake})
+}
+
+// Logger is the gateway's.
+func (a *agreed) Logger() *slog.Logger { return a.g.log }
+
+// Outcome tells whoever asked.
+func (a *agreed) Outcome(no uint64, o agreement.Outcome) {
+	if f := a.waits[no]; f != nil {
+		delete(a.waits, no)
+		f(o)
+	}
+}
+
+// Prepare compiles what is new of a manifest beside the loop.
+func (a *agreed) Prepare(m *agreement.Manifest) {
+	p := &prepared{stamp: m.Stamp}
+	type todo struct {
+		v    *agreement.Version
+		text []byte
+		to   **generation
+	}
+	var all []todo
+	for _, s := range m.Subjects {
+		if s.Name != subjectRoutes {
+			continue
+		}
+		for _, x := range []struct {
+			v  *agreement.Version
+			to **generation
+		}{{s.InForce, &p.inForce}, {s.Next, &p.next}} {
+			if x.v == nil {
+				continue
+			}
+			if known := a.known[x.v.Digest]; known != nil {
+				*x.to = known
+				continue
+			}
+			all = append(all, todo{x.v, a.f.Text(x.v.Digest), x.to})
+		}
+	}
+	if len(all) == 0 {
+		a.prepared = p
+		return
+	}
+	w := a.g.generations.world()
+	go func() {
+		made := map[agreement.Digest]*generation{}
+		var err error
+		for _, t := range all {
+			var d *routes.Document
+			if d, err = a.g.config.Parse(t.text); err != nil {
+				break
+			}
+			var x *generation
+			var findings []routes.Finding
+			if x, findings, err = compiled(Change{Document: d, Digest: digestOf(t.v.Digest), Text: t.text}, w); err != nil {
+				err = fmt.Errorf("%w: %v", err, findings)
+				break
+			}
+			x.version = t.v.No
+			made[t.v.Digest] = x
+			*t.to = x
+		}
+		a.g.post(func() {
+			if err != nil { // it stays with what it holds, and is careful once its lease has run out
+				a.g.log.Error("a version of the fleet can't be taken by this gateway", "why", err)
+				return
+			}
+			for d, x := range made {
+				a.known[d] = x
+			}
+			a.prepared = p
+		})
+	}()
+}
+
+func digestOf(d agreement.Digest) (n uint64) {
+	for _, b := range d[:8] {
+		n = n<<8 | uint64(b)
+	}
+	return max(1, n)
+}
+
+// carryOut puts what was prepared in force, and does what the module decides.
+func (a *agreed) carryOut() {
+	a.f.Turn()
+	gs := a.g.generations
+	if p := a.prepared; p != nil {
+		want := p.inForce
+		if want == nil {
+			want = gs.all[0]
+		}
+		if gs.inForce != want && !p.staged {
+			p.staged = true
+			if want.no != 0 && gs.all[want.no] == nil || want.no == 0 && p.inForce != nil {
+				if _, err := gs.propose(want, Change{Digest: want.digest, Again: true}, false); err != nil {
+					a.g.log.Error("a version of the fleet is not taken", "why", err)
+				}
+			}
+			gs.carryOut()
+		}
+		if gs.inForce == want {
+			gs.tell(p.next)
+			a.prepared = nil
+			a.f.Adopt(p.stamp)
+			a.forget(p)
+			a.log(p)
+			a.f.Turn()
+		}
+	}
+	if careful := a.held && a.Now() >= a.f.Leased(); careful != a.careful {
+		a.careful = careful
+		a.g.log.Info("agreement", "careful", careful, "version", a.version())
+	}
+}
+
+func (a *agreed) log(p *prepared) {
+	if !a.held {
+		a.held = true
+	}
+	next := uint64(0)
+	if p.next != nil {
+		next = p.next.version
+	}
+	if v := a.version(); v != 0 || next != 0 {
+		a.g.log.Info("version of the fleet", "in_force", v, "next", next)
+	}
+}
+
+func (a *agreed) version() uint64 { return a.g.generations.inForce.version }
+
+// forget drops what is no longer alive.
+func (a *agreed) forget(p *prepared) {
+	for d, x := range a.known {
+		if x != p.inForce && x != p.next {
+			delete(a.known, d)
+		}
+	}
+}
+
+// may tells whether a txn may be decided by the version in force: whether this gateway may act on it, and, where another
+// one is on its way, whether both come to the same. It looks at the clock itself: a gateway that stood still is careful
+// from its first decision on.
+func (a *agreed) may(t *txn, x *routes.Txn, group int) (routes.Why, int64) {
+	stated := a.f.Plan().Terms.Stated()
+	gs := a.g.generations
+	usual := a.f.Plan().Serve
+	if !a.held {
+		if usual {
+			return routes.Free, 0
+		}
+		return routes.Unagreed, stated
+	}
+	alike, ruled := true, t.route.Route >= 0
+	if n := gs.told; n != nil {
+		y := routes.Answer{Route: -1, Type: int32(x.Type), Tenant: -1}
+		if n.table != nil {
+			y = n.table.Lookup(x)
+		}
+		alike, ruled = routes.Alike(gs.inForce.table, t.route, n.table, y, group), ruled || y.Route >= 0
+		t.alsoTenant = y.Tenant
+	}
+	if alike && (!ruled || a.Now() < a.f.Leased()) || gs.inForce.table.ServesWithout(t.route.Tenant, usual) {
+		return routes.Free, 0
+	}
+	return routes.Unagreed, stated
+}
+
+// ready tells whether clients may come: not before it knows what holds, or has asked for it long enough.
+func (a *agreed) ready() bool {
+	return a.held || a.f.Plan().Serve || time.Since(a.g.clock.began) > 2*time.Duration(a.f.Plan().Terms.Stated())
+}
+
+// ask has the fleet agree on something and waits for what becomes of it.
+func (g *Gateway) ask(ctx context.Context, f func() (agreement.Wish, []byte, error)) (o agreement.Outcome, err error) {
+	done := make(chan agreement.Outcome, 1)
+	err = g.inLoop(ctx, func() error {
+		if g.agreed == nil {
+			return errors.New("this gateway agrees on nothing with others: its operator's file has no block agreement")
+		}
+		w, text, err := f()
+		if err != nil {
+			return err
+		}
+		no, err := g.agreed.f.Ask(w, text, askPatience)
+		if err == nil {
+			g.agreed.waits[no] = func(o agreement.Outcome) { done <- o }
+		}
+		return err
+	})
+	if err != nil {
+		return o, err
+	}
+	select {
+	case o = <-done:
+	case <-ctx.Done():
+		return o, ctx.Err()
+	}
+	if !o.Done {
+		return o, errors.New(o.Why)
+	}
+	return o, nil
+}
+
+// propose has the fleet agree on a change as the version that follows the one held here.
+func (a *agreed) propose(c Change) (agreement.Wish, []byte, error) {
+	v := agreement.Version{Subject: subjectRoutes, Who: c.Who, At: time.Now().UnixNano(), Why: c.Why, Form: routes.Form}
+	var before *routes.Document
+	for _, s := range a.f.Held().Subjects {
+		if s.Name != subjectRoutes {
+			continue
+		}
+		for _, x := range []*agreement.Version{s.InForce, s.Next} {
+			if x != nil {
+				v.Predecessor = x.No
+				if g := a.known[x.Digest]; g != nil {
+					before = g.document
+				}
+			}
+		}
+	}
+	if !a.held {
+		return agreement.Wish{}, nil, errors.New("this gateway does not hold what the fleet agreed on yet")
+	}
+	v.Clashes = routes.Clashes(before, c.Document)
+	return agreement.Wish{Version: &v}, c.Text, nil
+}
+
+// FoundFleet begins a fleet with this gateway as its one voter.
+func (g *Gateway) FoundFleet(ctx context.Context) error {
+	return g.inLoop(ctx, func() error {
+		if g.agreed == nil {
+			return errors.New("its operator's file has no block agreement")
+		}
+		return g.agreed.f.Found()
+	})
+}
+
+// AskFleet has the fleet take a gateway out of its list, or let one vote or no longer.
+func (g *Gateway) AskFleet(ctx context.Context, w agreement.Wish) error {
+	_, err := g.ask(ctx, func() (agreement.Wish, []byte, error) { return w, nil, nil })
+	return err
+}
+
+// Fleet tells how this gateway stands to the fleet; nil where it agrees on nothing.
+func (g *Gateway) Fleet(ctx context.Context) (s *fleet.Status, err error) {
+	err = g.inLoop(ctx, func() error {
+		if g.agreed != nil {
+			x := g.agreed.f.Status()
+			s = &x
+		}
+		return nil
+	})
+	return s, err
+}
+
+// Restore has the fleet agree on the text of a former version again.
+func (g *Gateway) Restore(ctx context.Context, no uint64, who string) (rollout.Generation, error) {
+	var text []byte
+	err := g.inLoop(ctx, func() error {
+		if g.agreed == nil {
+			return errors.New("this gateway agrees on nothing with others")
+		}
+		for _, s := range g.agreed.f.Status().History {
+			if v := s.Version(no); s.Name == subjectRoutes && v != nil {
+				text = g.agreed.f.Text(v.Digest)
+			}
+		}
+		if text == nil {
+			return fmt.Errorf("version %d is not kept here; ask a gateway that votes, its history lists what is", no)
+		}
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	d, err := g.config.Parse(text)
+	if err != nil {
+		return 0, err
+	}
+	n, _, err := g.Apply(ctx, Change{Document: d, Text: text, Who: who, Why: fmt.Sprintf("version %d again", no)})
+	return n, err
+}
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -467,7 +467,7 @@
 		return 0
 	}
 	if len(trimmed(text)) == 0 {
-		if !cs.g.discovery.list.held { // not yet able to serve: the answer waits until it is
+		if !cs.g.discovery.list.held || cs.g.agreed != nil && !cs.g.agreed.ready() { // not yet able to serve: the answer waits until it is
 			cs.again(ref, c)
 			return 0
 		}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -10,7 +10,9 @@
 	"strconv"
 	"time"
 
+	"magpieglade/fleet"
 	"magpieglade/internal/httpwire"
+	"magpieglade/routes"
 )
 
 // Config is what the platform tells a gateway.
@@ -27,12 +29,14 @@
 	Settings json.RawMessage `json:"settings"` // what the module reads, and a few names that the sockets need
 
 	// What the operator's own file says, see deploy/; the platform does not know it.
-	Log        *slog.Logger  `json:"-"` // nil is the default
-	Sessions   *SessionPlan  `json:"-"`
-	Change     *Change       `json:"-"` // applied at the start, and kept at once unless another was kept before
-	Changes    *ChangeFolder `json:"-"` // nil where changes do not outlive the process
-	Spread     *SpreadPlan   `json:"-"` // nil where a change is for this gateway alone
-	ClockError time.Duration `json:"-"` // how far the clocks of machines may differ; positions up to this far ahead are believed
+	Log        *slog.Logger                                `json:"-"` // nil is the default
+	Sessions   *SessionPlan                                `json:"-"`
+	Change     *Change                                     `json:"-"` // applied at the start, and kept at once unless another was kept before
+	Changes    *ChangeFolder                               `json:"-"` // nil where changes do not outlive the process
+	Spread     *SpreadPlan                                 `json:"-"` // nil where a change is for this gateway alone
+	Agreement  *fleet.Plan                                 `json:"-"` // nil where gateways agree on nothing
+	Parse      func(text []byte) (*routes.Document, error) `json:"-"` // of a version that was agreed on
+	ClockError time.Duration                               `json:"-"` // how far the clocks of machines may differ; positions up to this far ahead are believed
 }
 
 // FromEnvironment reads the file that EDGE_CONFIG names; the other EDGE variables go before what it says.
@@ -140,6 +144,18 @@
 			return 0, n, fmt.Errorf("configuration: %w", err)
 		}
 	}
+	if c.Agreement != nil {
+		err := c.Agreement.Check()
+		if err == nil && (c.Parse == nil || c.Spread != nil || c.Changes != nil) {
+			err = errors.New("agreement: it needs a parser, and stands for Spread and Changes")
+		}
+		if err == nil && c.Sessions != nil && c.Sessions.Listen.IsValid() && c.Sessions.Listen != c.Agreement.Listen {
+			err = errors.New("agreement: sessions listen at another address")
+		}
+		if err != nil {
+			return 0, n, fmt.Errorf("configuration: %w", err)
+		}
+	}
 	if c.Spread != nil {
 		if err := c.Spread.check(c.Sessions); err != nil {
 			return 0, n, fmt.Errorf("configuration: %w", err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net/netip"
 	"runtime/debug"
 	"time"
 
@@ -20,7 +21,9 @@
 	gneterrors "github.com/panjf2000/gnet/v2/pkg/errors"
 
 	"magpieglade/decide"
+	"magpieglade/fleet"
 	"magpieglade/internal/deadlines"
+	"magpieglade/internal/peerwire"
 	"magpieglade/internal/slots"
 	"magpieglade/routes"
 )
@@ -58,8 +61,11 @@
 	counts    counts
 
 	generations *generations
-	sessions    *sessions // nil where the operator says nothing of them
-	spread      *spread   // nil where changes are each gateway's own
+	sessions    *sessions        // nil where the operator says nothing of them
+	spread      *spread          // nil where changes are each gateway's own
+	agreed      *agreed          // nil where gateways agree on nothing
+	link        *fleet.Datagrams // the address for other gateways, nil where there are none
+	seed        uint64
 
 	leaving bool         // told to end
 	closing bool         // and sends clients away that have their answers
@@ -87,6 +93,7 @@
 	g := &Gateway{config: c, names: n, module: module, clock: newClock(), started: make(chan struct{}),
 		byID: map[uint64]slots.Ref{}, least: new(slog.LevelVar)}
 	g.least.Set(everything)
+	g.seed = seed
 	g.log = slog.New(levelled{cmp.Or(c.Log, slog.Default()).Handler(), g.least}).With("gateway", c.Name)
 	g.members = members{g: g, pools: map[decide.Server]*pool{}}
 	g.clients.g, g.discovery.g, g.discovery.leave = g, g, map[decide.Server]bool{}
@@ -111,6 +118,24 @@
 // Run serves until the context ends and what was taken is answered, for a little longer than the longest time
 // that a txn type allows at most.
 func (g *Gateway) Run(ctx context.Context) error {
+	if at := g.forOthers(); at.IsValid() {
+		var err error
+		if g.link, err = fleet.Listen(at); err != nil {
+			return fmt.Errorf("the address for other gateways: %w", err)
+		}
+		defer g.link.Close()
+	}
+	if g.config.Agreement != nil {
+		var err error
+		if g.agreed, err = openAgreed(g, g.seed); err != nil {
+			return err
+		}
+		defer func() {
+			if err := g.agreed.f.Close(); err != nil {
+				g.log.Info("the log of the agreement is not closed in order", "why", err)
+			}
+		}()
+	}
 	if g.sessions != nil {
 		if err := g.sessions.open(); err != nil {
 			return fmt.Errorf("sessions: %w", err)
@@ -135,6 +160,31 @@
 	return errors.Join(err, g.ended)
 }
 
+// forOthers is where other gateways reach this one; not valid where there are none.
+func (g *Gateway) forOthers() (at netip.AddrPort) {
+	if p := g.config.Agreement; p != nil {
+		return p.Listen
+	}
+	if p := g.config.Sessions; p != nil && len(p.Gateways) > 1 {
+		return p.Listen
+	}
+	return at
+}
+
+// cameFromOthers takes what other gateways sent.
+func (g *Gateway) cameFromOthers() {
+	g.link.Take(func(d fleet.Datagram) {
+		switch {
+		case peerwire.IsSealed(d.Text):
+			if g.agreed != nil {
+				g.agreed.f.Heard(d)
+			}
+		case g.sessions != nil && g.sessions.peers != nil:
+			g.sessions.heard(d.Text)
+		}
+	})
+}
+
 // Reload puts a new configuration in force as far as that goes without a restart: where discovery is. It may
 // be called at any time, and waits until Run has begun. Nothing changes where a value is lacking or wrong.
 func (g *Gateway) Reload(c Config) error {
--- a/gateway/generations.go
+++ b/gateway/generations.go
@@ -3,9 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
+	"maps"
 	"slices"
 
+	"magpieglade/agreement"
 	"magpieglade/decide"
 	"magpieglade/internal/httpwire"
 	"magpieglade/rollout"
@@ -19,6 +22,7 @@
 	module  *rollout.Rollout
 	next    rollout.Generation
 	inForce *generation
+	told    *generation                        // one that the fleet agreed on and that is not in force: both bind; nil is none
 	saving  bool                               // the module's decisions wait until what it said is on the disk
 	all     map[rollout.Generation]*generation // in force, kept, staged, or with txns under way
 }
@@ -33,6 +37,7 @@
 	shares   *routes.Shares
 	retries  *routes.Retries
 	txns     int
+	version  uint64          // that the fleet gave it, 0 for none
 	barred   map[string]bool // members that it excludes or drains
 }
 
@@ -44,6 +49,12 @@
 
 // start applies what the operator's file says at the start. What is wrong with it leaves all as the platform says.
 func (gs *generations) start(c *Change) {
+	if gs.g.agreed != nil {
+		if c != nil {
+			gs.g.log.Info("routes and limits are what the fleet agrees on: those of the operator's file wait for config apply")
+		}
+		return
+	}
 	watch, before := int64(0), uint64(0)
 	if gs.g.config.Changes != nil {
 		if before = gs.recall(); before != 0 && c != nil {
@@ -76,6 +87,7 @@
 	Watch    int64            // nanoseconds in which it is undone if health worsens; 0 keeps it at once
 	Again    bool             // also if it was undone before
 	Alone    bool             // for this gateway, where Config.Spread has changes go to all
+	Who, Why string           // where the fleet agrees on changes: who wants it and what for
 }
 
 // Apply checks a change and stages it; it is applied, watched, and kept or undone by what Status tells later. Findings
@@ -89,6 +101,13 @@
 	if err != nil {
 		return 0, findings, err
 	}
+	if g.agreed != nil {
+		if c.Alone {
+			return 0, findings, errors.New("the gateways of a fleet act on one version: nothing is applied at one alone")
+		}
+		o, err := g.ask(ctx, func() (agreement.Wish, []byte, error) { return g.agreed.propose(c) })
+		return rollout.Generation(o.Version), findings, err
+	}
 	err = g.inLoop(ctx, func() error {
 		if g.spread != nil && !c.Alone {
 			if err = g.spread.lead(rollout.Change{Digest: c.Digest, Watch: c.Watch, Again: c.Again}, c.Text); err != nil {
@@ -224,37 +243,85 @@
 // way counts against the shares of its tenants, by name, whatever generation began it.
 func (gs *generations) enter(x *generation) {
 	now := int64(gs.g.clock.now())
-	before := gs.inForce
+	before := gs.bars()
 	gs.inForce = x
 	if x.table != nil {
-		x.shares, x.retries = routes.NewShares(x.table, now), routes.NewRetries(x.table)
+		if x != gs.told {
+			x.shares = routes.NewShares(x.table, now)
+		}
+		x.retries = routes.NewRetries(x.table)
 		for _, ref := range gs.g.txns.Refs() {
-			if t := gs.g.txns.Get(ref); t.counted {
+			if t := gs.g.txns.Get(ref); t.counted && x == gs.told {
+				t.shares, t.tenant, t.also = t.also, t.alsoTenant, nil
+			} else if t.counted {
 				gs.carry(x, t)
 			}
 		}
 	}
+	if x == gs.told {
+		gs.told = nil
+	}
 	gs.g.clients.recount(x)
-	gs.listed(before, x)
+	gs.listed(before)
 	gs.forget()
 	gs.g.least.Set(levelOf(x.document))
 }
 
+// tell has another generation bind beside the one in force: what it takes away is taken at once, what it gives waits
+// until it is in force. nil ends that.
+func (gs *generations) tell(x *generation) {
+	if x == gs.told {
+		return
+	}
+	before := gs.bars()
+	gs.told = x
+	if x != nil && x.table != nil {
+		x.shares = routes.NewShares(x.table, int64(gs.g.clock.now()))
+	}
+	for _, ref := range gs.g.txns.Refs() {
+		t := gs.g.txns.Get(ref)
+		t.also = nil
+		if t.counted && x != nil && x.table != nil {
+			t.also, t.alsoTenant = x.shares, gs.tenantIn(x, t)
+			t.also.Carry(t.alsoTenant, int64(t.size))
+		}
+	}
+	gs.listed(before)
+}
+
+// tenantIn is a txn's tenant in another table, by its name; below 0 is none.
+func (gs *generations) tenantIn(x *generation, t *txn) int32 {
+	if t.generation.table == nil || t.route.Tenant < 0 {
+		return -1
+	}
+	name := t.generation.table.Tenants[t.route.Tenant].Name
+	return int32(slices.IndexFunc(x.table.Tenants, func(n routes.Tenant) bool { return n.Name == name }))
+}
+
 // carry counts a txn of another generation against the tenant of its name, if there is one.
 func (gs *generations) carry(x *generation, t *txn) {
-	t.shares, t.tenant = x.shares, -1
-	if t.generation.table != nil && t.route.Tenant >= 0 {
-		name := t.generation.table.Tenants[t.route.Tenant].Name
-		t.tenant = int32(slices.IndexFunc(x.table.Tenants, func(n routes.Tenant) bool { return n.Name == name }))
-	}
+	t.shares, t.tenant = x.shares, gs.tenantIn(x, t)
 	x.shares.Carry(t.tenant, int64(t.size))
 }
 
+// bars are the members that get nothing new by what is in force, or by what comes next.
+func (gs *generations) bars() map[string]bool {
+	if gs.told == nil {
+		return gs.inForce.barred
+	}
+	all := maps.Clone(gs.inForce.barred)
+	if all == nil {
+		all = map[string]bool{}
+	}
+	maps.Copy(all, gs.told.barred)
+	return all
+}
+
 // listed tells the module of members whose bar has changed. A drain of the list's goes before any table.
-func (gs *generations) listed(before, after *generation) {
-	told := false
+func (gs *generations) listed(before map[string]bool) {
+	told, after := false, gs.bars()
 	for _, h := range gs.g.discovery.list.hosts {
-		if before.barred[h.entry.Host] != after.barred[h.entry.Host] {
+		if before[h.entry.Host] != after[h.entry.Host] {
 			gs.g.discovery.tellHost(h.entry)
 			told = true
 		}
@@ -266,7 +333,7 @@
 
 // health is what the list says of a host, or the generation in force does.
 func (gs *generations) health(e *httpwire.Host) string {
-	if e.Health == "active" && gs.inForce.barred[e.Host] {
+	if e.Health == "active" && (gs.inForce.barred[e.Host] || gs.told != nil && gs.told.barred[e.Host]) {
 		return "leaving"
 	}
 	return e.Health
@@ -286,14 +353,27 @@
 func (gs *generations) arrive(t *txn, x *routes.Txn) (why routes.Why, after int64) {
 	t.generation = gs.inForce
 	t.route = routes.Answer{Route: -1, Type: int32(x.Type), Tenant: -1}
+	if t.generation.table != nil {
+		t.route = t.generation.table.Lookup(x)
+	}
+	if gs.g.agreed != nil {
+		if why, after = gs.g.agreed.may(t, x, t.comment.Group); why != routes.Free {
+			return why, after
+		}
+	}
+	now := int64(gs.g.clock.now())
+	if gs.told != nil && gs.told.table != nil {
+		if why, after = gs.told.shares.May(t.alsoTenant, int64(t.size), now); why != routes.Free {
+			return why, after
+		}
+		t.also = gs.told.shares
+	}
 	if t.generation.table == nil {
 		return routes.Free, 0
 	}
-	t.route = t.generation.table.Lookup(x)
 	if !t.generation.table.Admits(t.route.Route, t.comment.Group) {
 		return routes.Elsewhere, 0
 	}
-	now := int64(gs.g.clock.now())
 	if why, after = t.generation.shares.May(t.route.Tenant, int64(t.size), now); why != routes.Free {
 		return why, after
 	}
@@ -308,6 +388,9 @@
 	if t.shares != nil {
 		t.shares.Begin(t.tenant, int64(t.size), int64(gs.g.clock.now()))
 	}
+	if t.also != nil {
+		t.also.Begin(t.alsoTenant, int64(t.size), int64(gs.g.clock.now()))
+	}
 }
 
 func (gs *generations) end(t *txn) {
@@ -318,6 +401,9 @@
 	if t.shares != nil {
 		t.shares.End(t.tenant, int64(t.size))
 	}
+	if t.also != nil {
+		t.also.End(t.alsoTenant, int64(t.size))
+	}
 	if t.generation.txns--; t.generation.txns == 0 && t.generation != gs.inForce {
 		gs.forget()
 	}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -137,6 +137,9 @@
 			g.spread.carryOut()
 			g.generations.carryOut()
 		}
+		if g.agreed != nil {
+			g.agreed.carryOut()
+		}
 		if g.sessions != nil {
 			g.sessions.module.Clock(int64(g.clock.now()))
 			g.sessions.carryOut()
@@ -342,6 +345,9 @@
 		g.loop = c.EventLoop()
 		close(g.started)
 		g.discovery.start()
+		if g.link != nil {
+			go g.link.Receive(func() { g.post(g.cameFromOthers) })
+		}
 		if g.sessions != nil {
 			g.sessions.start()
 		}
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -43,7 +43,7 @@
 		}
 	}
 	if len(s.plan.Gateways) > 1 {
-		if s.peers, err = listenPeers(s.plan, run, s.g.log); err != nil {
+		if s.peers, err = newPeers(s.plan, run, s.g.link, s.g.log); err != nil {
 			s.close()
 			return err
 		}
@@ -56,16 +56,10 @@
 
 // start begins to hear of other gateways, once there is a loop to post to.
 func (s *sessions) start() {
-	if s.peers != nil {
-		go s.peers.receive(func() { s.g.post(s.heard) })
-	}
 	s.g.log.Info("sessions are covered", "source", s.plan.Terms.Source, "gateways", s.plan.Terms.Fleet, "tokens", s.plan.Tokens)
 }
 
 func (s *sessions) close() {
-	if s.peers != nil {
-		s.peers.close()
-	}
 	if s.marks != nil {
 		if err := s.marks.close(); err != nil {
 			s.g.log.Info("ledger not closed in order", "why", err)
@@ -73,31 +67,31 @@
 	}
 }
 
-// heard tells the module what other gateways said.
-func (s *sessions) heard() {
+// heard tells the module what another gateway said.
+func (s *sessions) heard(text []byte) {
+	m, err := s.peers.wire.Read(text)
+	if err != nil {
+		s.peers.refused(err)
+		return
+	}
 	s.module.Clock(int64(s.g.clock.now()))
-	s.peers.take(func(m peerwire.Message) {
-		if m.Type == peerwire.Ask {
-			s.module.Asked(m.From, m.No, m.Epoch, m.Last)
-			return
-		}
-		if m.Type == peerwire.Positions {
-			s.heardNews(m.Entries)
-			return
-		}
-		if m.Type >= peerwire.Offer {
-			if s.g.spread != nil {
-				s.g.spread.heard(&m)
-			}
-			return
+	switch {
+	case m.Type == peerwire.Ask:
+		s.module.Asked(m.From, m.No, m.Epoch, m.Last)
+	case m.Type == peerwire.Positions:
+		s.heardNews(m.Entries)
+	case m.Type >= peerwire.Offer:
+		if s.g.spread != nil {
+			s.g.spread.heard(&m)
 		}
+	default:
 		page := session.Page{Epoch: m.Epoch, Last: m.Last, First: m.First}
 		for _, e := range m.Entries {
 			page.Entries = append(page.Entries, session.Entry{Kind: session.EntryKind(e.Kind), Group: int(e.Group), Key: e.Key,
 				Position: session.Position(e.Position), Age: int64(e.Age) * 1000})
 		}
 		s.module.Told(m.From, m.No, page)
-	})
+	}
 }
 
 // position is a position on the gateway's clock as every gateway words it, and back.
--- a/gateway/txns.go
+++ b/gateway/txns.go
@@ -27,6 +27,8 @@
 	route      routes.Answer
 	shares     *routes.Shares // that it counts against, nil for none
 	tenant     int32          // of those
+	also       *routes.Shares // of a version that comes next, nil for none
+	alsoTenant int32          // of those
 	counted    bool           // until it has ended
 	failed     bool           // its answer is an error
 	arrived    decide.Nanos
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -24,6 +24,7 @@
 	Status  status  `cmd:"" help:"Tell which generation is in force and what is watched."`
 	History history `cmd:"" help:"List the changes that ended since the gateway's start."`
 	Keep    keep    `cmd:"" help:"Keep the watched change."`
+	Restore restore `cmd:"" help:"Have the fleet agree on a former version again."`
 	Undo    undo    `cmd:"" help:"Undo the watched change, or drop the staged one."`
 }
 
@@ -92,6 +93,7 @@
 	File  string         `arg:"" type:"existingfile" help:"The operator's file." predictor:"file"`
 	Watch *time.Duration `help:"For how long it is undone if health worsens; 0 keeps it at once. Without it what the file says."`
 	Again bool           `help:"Also if it was undone before."`
+	Why   string         `help:"What it is for, where the fleet agrees on changes."`
 	Alone bool           `help:"At this gateway alone, where the operator's file has changes go to all."`
 	Wait  bool           `help:"Wait until it is kept or undone; status 1 if it was undone."`
 }
@@ -102,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	q := control.Request{Text: string(text), Path: a.File, Watch: -1, Again: a.Again, Alone: a.Alone}
+	q := control.Request{Text: string(text), Path: a.File, Watch: -1, Again: a.Again, Alone: a.Alone, Who: who(), Why: a.Why}
 	if a.Watch != nil {
 		q.Watch = int64(*a.Watch)
 	}
@@ -115,6 +117,9 @@
 	if err != nil {
 		return err
 	}
+	if f, err := control.Ask(context.Background(), a.Control, "GET", "fleet", nil); err == nil && f.Fleet != nil {
+		return a.agreed(out, uint64(r.Generation))
+	}
 	if !a.JSON {
 		fmt.Fprintf(out, "generation %d staged\n", r.Generation)
 	}
@@ -177,6 +182,9 @@
 
 // Run lists it.
 func (h *history) Run(out io.Writer) error {
+	if f, err := control.Ask(context.Background(), h.Control, "GET", "fleet", nil); err == nil && f.Fleet != nil {
+		return versionsTo(out, f.Fleet, h.JSON)
+	}
 	r, err := h.ask(out, "GET", "status", nil)
 	if err != nil || h.JSON {
 		return err
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,6 +13,8 @@
 	"os"
 	"time"
 
+	"magpieglade/agreement"
+	"magpieglade/fleet"
 	"magpieglade/gateway"
 	"magpieglade/internal/operator"
 	"magpieglade/rollout"
@@ -25,6 +27,10 @@
 	Watch int64  // nanoseconds; below 0 is what the text says
 	Again bool
 	Alone bool // not for the other gateways
+	Who   string
+	Why   string
+	No    uint64          // of a version
+	Wish  *agreement.Wish // of a fleet
 }
 
 // Reply tells what came of a request.
@@ -35,6 +41,7 @@
 	Text       string             `json:",omitempty"` // of the generation in force
 	Status     *rollout.Status    `json:",omitempty"`
 	Spread     *gateway.Spread    `json:",omitempty"`
+	Fleet      *fleet.Status      `json:",omitempty"`
 }
 
 const (
@@ -118,13 +125,43 @@
 		if q.Watch < 0 {
 			q.Watch = int64(f.Watch)
 		}
-		no, findings, err := g.Apply(r.Context(), gateway.Change{Document: f.Document, Digest: f.Digest, Text: []byte(q.Text), Watch: q.Watch, Again: q.Again, Alone: q.Alone})
+		no, findings, err := g.Apply(r.Context(), gateway.Change{Document: f.Document, Digest: f.Digest, Text: []byte(q.Text), Watch: q.Watch, Again: q.Again, Alone: q.Alone,
+			Who: q.Who, Why: q.Why})
 		reply := Reply{Generation: no}
 		for _, x := range findings {
 			reply.Findings = append(reply.Findings, x.Error())
 		}
 		answer(w, reply, err)
 	})
+	asked := func(r *http.Request) (q Request, err error) {
+		return q, json.NewDecoder(io.LimitReader(r.Body, mostText)).Decode(&q)
+	}
+	mux.HandleFunc("GET /fleet", func(w http.ResponseWriter, r *http.Request) {
+		s, err := g.Fleet(r.Context())
+		if err == nil && s == nil {
+			err = errors.New("this gateway agrees on nothing with others: its operator's file has no block agreement")
+		}
+		answer(w, Reply{Fleet: s}, err)
+	})
+	mux.HandleFunc("POST /found", func(w http.ResponseWriter, r *http.Request) { answer(w, Reply{}, g.FoundFleet(r.Context())) })
+	mux.HandleFunc("POST /wish", func(w http.ResponseWriter, r *http.Request) {
+		q, err := asked(r)
+		if err == nil && q.Wish == nil {
+			err = errors.New("nothing is asked for")
+		}
+		if err == nil {
+			err = g.AskFleet(r.Context(), *q.Wish)
+		}
+		answer(w, Reply{}, err)
+	})
+	mux.HandleFunc("POST /restore", func(w http.ResponseWriter, r *http.Request) {
+		q, err := asked(r)
+		var no rollout.Generation
+		if err == nil {
+			no, err = g.Restore(r.Context(), q.No, q.Who)
+		}
+		answer(w, Reply{Generation: no}, err)
+	})
 	mux.HandleFunc("POST /keep", func(w http.ResponseWriter, r *http.Request) { answer(w, Reply{}, g.Keep(r.Context())) })
 	mux.HandleFunc("POST /undo", func(w http.ResponseWriter, r *http.Request) { answer(w, Reply{}, g.Undo(r.Context())) })
 	mux.HandleFunc("GET /text", func(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/internal/operator/agreement.go
@@ -0,0 +1,91 @@
+package operator
+
+import (
+	"fmt"
+	"net/netip"
+	"path/filepath"
+	"runtime/debug"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+
+	"magpieglade/agreement"
+	"magpieglade/fleet"
+	"magpieglade/gateway"
+	"magpieglade/internal/peerwire"
+	"magpieglade/routes"
+)
+
+// agreement takes how this gateway agrees with the others on what holds for all.
+func (r *reader) agreement(b *hcl.Block) *fleet.Plan {
+	in := r.block(b, []string{"listen", "address", "ask", "folder", "zone", "lease", "clock_error", "turn", "without_agreement"}, "key")
+	p := &fleet.Plan{Terms: agreement.UsualTerms()}
+	in.address("listen", &p.Listen)
+	if !p.Listen.IsValid() && in.Attrs["listen"] == nil {
+		r.Wrong(b.DefRange, "listen is lacking", "Say at which address the others reach this gateway: listen = \"10.0.0.4:7946\".")
+	}
+	p.Address = p.Listen
+	in.address("address", &p.Address)
+	for _, text := range in.Words("ask") {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil || !a.Addr().Is4() || a.Port() == 0 {
+			r.Wrong(in.Attrs["ask"].Expr.Range(), fmt.Sprintf("%q is no IPv4 address with a port", text), "Write it as 10.0.0.4:7946.")
+			continue
+		}
+		p.Ask = append(p.Ask, a)
+	}
+	in.Decode("folder", &p.Folder)
+	if p.Folder != "" && !filepath.IsAbs(p.Folder) {
+		p.Folder = filepath.Join(r.folder, p.Folder)
+	}
+	if p.Folder == "" && len(p.Ask) == 0 {
+		r.Wrong(b.DefRange, "there is neither a folder, to vote, nor anybody to ask", "Give folder = \"/var/lib/magpieglade/agreement\", or ask = [\"10.0.0.4:7946\"].")
+	}
+	in.Decode("zone", &p.Zone)
+	in.Span("lease", &p.Terms.Lease, 100*time.Millisecond)
+	in.Span("clock_error", &p.Terms.ClockError, time.Millisecond)
+	in.Span("turn", &p.Terms.Turn, time.Millisecond)
+	without := routes.Decline
+	in.OneOf("without_agreement", &without, routes.Decline, routes.Serve)
+	p.Serve = without == routes.Serve
+	var keys []gateway.PeerKey
+	for _, k := range in.Blocks {
+		r.key(k, &keys)
+	}
+	if len(in.Blocks) == 0 {
+		r.Wrong(b.DefRange, "a key is lacking", "Gateways believe one another by a key that they share: key \"1\" { file = \"...\" }.")
+	}
+	for _, k := range keys {
+		p.Keys = append(p.Keys, peerwire.Key{ID: k.ID, Secret: k.Secret})
+	}
+	return p
+}
+
+// besides names what of a file the agreement takes the place of.
+func (r *reader) besides(top *content, f *File) {
+	for _, b := range top.Blocks {
+		if b.Type == "spread" {
+			r.Wrong(b.DefRange, "changes go to all gateways by the agreement", "Take the block spread away: what is applied at one gateway is agreed on by all.")
+		}
+	}
+	if f.Changes != "" {
+		r.Wrong(top.RangeOf("changes"), "changes outlive the process by the agreement", "Take changes away: the log of those that vote keeps them.")
+	}
+	if s := f.Sessions; s != nil && s.Listen.IsValid() && f.Agreement.Listen.IsValid() && s.Listen != f.Agreement.Listen {
+		r.Wrong(top.Blocks[0].DefRange, fmt.Sprintf("sessions listen at %v and the agreement at %v", s.Listen, f.Agreement.Listen), "Both use one address.")
+	}
+}
+
+// Build names this build.
+func Build() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value[:min(12, len(s.Value))]
+		}
+	}
+	return info.Main.Version
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -14,6 +14,7 @@
 
 	"github.com/hashicorp/hcl/v2"
 
+	"magpieglade/fleet"
 	"magpieglade/gateway"
 	"magpieglade/internal/hclfile"
 	"magpieglade/ledger"
@@ -31,6 +32,7 @@
 	Digest     uint64               // the same for the same text
 	Text       []byte
 	Spread     *gateway.SpreadPlan // nil where changes are this gateway's own
+	Agreement  *fleet.Plan         // nil where it has no such block; Name and Build are the program's
 	Control    string              // the socket at which the gateway can be talked to; empty is none
 	Changes    string              // the folder in which changes outlive the process; empty is none
 }
@@ -39,6 +41,11 @@
 func (f *File) Apply(c *gateway.Config) {
 	c.ClockError = f.ClockError
 	c.Sessions = f.Sessions
+	if f.Agreement != nil {
+		p := *f.Agreement
+		p.Name, p.Build, p.Form = c.Name, Build(), routes.Form
+		c.Agreement, c.Parse = &p, parserOf("version of the fleet")
+	}
 	if f.Document != nil {
 		c.Change = &gateway.Change{Document: f.Document, Digest: f.Digest, Text: f.Text, Watch: int64(f.Watch)}
 	}
@@ -82,6 +89,10 @@
 			r.Wrong(b.DefRange, "a second block of sessions", "There may be one.")
 		case b.Type == "sessions":
 			f.Sessions = r.sessions(b)
+		case b.Type == "agreement" && f.Agreement != nil:
+			r.Wrong(b.DefRange, "a second block of agreement", "There may be one.")
+		case b.Type == "agreement":
+			f.Agreement = r.agreement(b)
 		case b.Type == "spread" && f.Spread != nil:
 			r.Wrong(b.DefRange, "a second block of spread", "There may be one.")
 		case b.Type == "spread":
@@ -92,6 +103,9 @@
 		at := slices.IndexFunc(top.Blocks, func(b *hcl.Block) bool { return b.Type == "spread" })
 		r.Wrong(top.Blocks[at].DefRange, "changes have no other gateways to go to", "Name all gateways in sessions { peers { gateways = [...] } }.")
 	}
+	if f.Agreement != nil {
+		r.besides(top, f)
+	}
 	f.Document = r.document(top)
 	if r.Err() != nil {
 		return nil, r.Err()
@@ -101,7 +115,7 @@
 
 // top is what the file itself may hold.
 func (r *reader) top(body hcl.Body) *content {
-	return &content{r.Part(body, hcl.Range{}, "clock_error control changes watch log in_flight exclude drain", "sessions", "spread", "tenant", "route")}
+	return &content{r.Part(body, hcl.Range{}, "clock_error control changes watch log in_flight exclude drain", "sessions", "spread", "agreement", "tenant", "route")}
 }
 
 func (r *reader) spread(b *hcl.Block) *gateway.SpreadPlan {
@@ -180,7 +194,7 @@
 		r.Wrong(in.RangeOf("positions"), "positions need other gateways to be told to", "Name them in gateways.")
 	}
 	for _, k := range in.Blocks {
-		r.key(k, p)
+		r.key(k, &p.Keys)
 	}
 	if len(p.Gateways) > 1 && len(p.Keys) == 0 {
 		r.Wrong(b.DefRange, "a key is lacking", "Gateways believe one another by a key that they share: key \"1\" { file = \"...\" }.")
@@ -188,7 +202,7 @@
 }
 
 // key is a shared secret, of a file in hexadecimal or of the environment.
-func (r *reader) key(b *hcl.Block, p *gateway.SessionPlan) {
+func (r *reader) key(b *hcl.Block, keys *[]gateway.PeerKey) {
 	in := r.block(b, []string{"file", "variable"})
 	var id uint8
 	if _, err := fmt.Sscanf(b.Labels[0], "%d", &id); err != nil || fmt.Sprint(id) != b.Labels[0] {
@@ -223,12 +237,12 @@
 	switch {
 	case err != nil || len(secret) < 16:
 		r.Wrong(where, "the key is not at least 16 bytes in hexadecimal", "Make one with: openssl rand -hex 32.")
-	case len(p.Keys) == 2:
+	case len(*keys) == 2:
 		r.Wrong(b.DefRange, "a third key", "Two are valid at once: the first signs.")
-	case len(p.Keys) == 1 && p.Keys[0].ID == id:
+	case len(*keys) == 1 && (*keys)[0].ID == id:
 		r.Wrong(b.LabelRanges[0], "the key stands twice", "A new key needs a new number.")
 	default:
-		p.Keys = append(p.Keys, gateway.PeerKey{ID: id, Secret: secret})
+		*keys = append(*keys, gateway.PeerKey{ID: id, Secret: secret})
 	}
 }
 
--- a/internal/peerwire/peerwire.go
+++ b/internal/peerwire/peerwire.go
@@ -282,13 +282,18 @@
 	seen uint64 // bit i is top-i
 }
 
-// fresh takes a counter once. Messages overtake one another, so a late one is fresh up to 64 behind.
+// fresh takes a counter of a gateway once.
 func (w *Wire) fresh(from int, run uint32, counter uint64) bool {
 	s := w.peers[from]
 	if s == nil {
 		s = new(senders)
 		w.peers[from] = s
 	}
+	return s.fresh(run, counter)
+}
+
+// fresh takes a counter once. Messages overtake one another, so a late one is fresh up to 64 behind.
+func (s *senders) fresh(run uint32, counter uint64) bool {
 	for i := range s.n {
 		if s.runs[i].run == run {
 			return s.runs[i].take(counter)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -19,6 +19,7 @@
 // Options are how a store is kept.
 type Options struct {
 	SyncEvery   time.Duration // how long what is appended may be without being synced
+	SyncAll     bool          // what is appended is on the disk, not with the kernel alone, when done is called
 	MostSegment int64         // bytes appended after which a snapshot is wanted
 	Files       Files         // nil is the operating system's
 	Boot        string        // what tells one run of the machine from another; empty asks the kernel
@@ -129,8 +130,8 @@
 	return nil
 }
 
-// Append queues records. done is called from the writer's goroutine once they are with the kernel, or with why they
-// are not.
+// Append queues records. done is called from the writer's goroutine once they are with the kernel, or on the disk where
+// Options.SyncAll says so, or with why they are not.
 func (s *Store) Append(records [][]byte, done func(error)) {
 	s.enqueue(job{records: records, done: done})
 }
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -172,8 +172,10 @@
 		}
 	}
 	if wrote && s.failed == nil {
-		s.failed = s.seg.out.Flush()
-		s.unsynced.Store(true)
+		if s.failed = s.seg.out.Flush(); s.failed == nil && s.o.SyncAll {
+			s.failed = s.seg.file.Sync()
+		}
+		s.unsynced.Store(!s.o.SyncAll)
 	}
 	s.mu.Lock()
 	if s.failed != nil {
--- a/routes/document.go
+++ b/routes/document.go
@@ -55,8 +55,13 @@
 	Rate     float64 // txns a second; 0 is no bound
 	Burst    float64 // txns that may come at once within Rate
 	Clients  int     // connections; 0 is no bound
+	Without  string  // Serve or Decline: what becomes of its txns while a gateway can't renew what the fleet agreed on; empty is as usual
 }
 
+// Form is that of documents which this build reads; a later one says more. A fleet agrees on none that one of its
+// gateways can't read.
+const Form = 1
+
 // Document is all that can be changed while a gateway runs.
 type Document struct {
 	Routes   []Route
--- a/routes/limits.go
+++ b/routes/limits.go
@@ -49,12 +49,13 @@
 	Rate
 	Clients
 	Elsewhere // its route does not go to that group
+	Unagreed  // this gateway can't tell whether the rules still hold
 )
 
 // String words it for a client or a log.
 func (w Why) String() string {
 	return [...]string{"free", "too many txns in flight", "the tenant's share is in use", "the tenant's txns in flight",
-		"the tenant's bytes in flight", "the tenant's rate", "the tenant's connections", "the route does not go to that cluster"}[w]
+		"the tenant's bytes in flight", "the tenant's rate", "the tenant's connections", "the route does not go to that cluster", "the fleet's agreement is not renewed"}[w]
 }
 
 // NewShares makes the shares of a table. Txns that were begun under another table are not in them; the host carries
