Five gateways under faults agree: tests with processes and a network between them

standin.Wire carries datagrams between gateways, by sender and receiver: cut, lost, late, twice. TestAgreedUnderFaults: five processes, three vote, clients at all of them, 5% lost and 5% twice: three changes while one is stopped, the leader killed half-way, one cut off from the others but not from clients, two operators at once, all voters killed and started again; one history at the end.

--- /dev/null
+++ b/gateway/agreed_test.go
@@ -0,0 +1,312 @@
+package gateway_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"magpieglade/standin"
+)
+
+// agreeing is an operator's file for gateways that agree on one version; the wire stands between them.
+const agreeing = `
+control = "%DIR%.sock"
+agreement {
+  listen  = "%LISTEN%"
+  address = "%ADDRESS%"
+  ask     = %VOTERS%
+  folder  = "%DIR%"
+  key "1" { file = "key" }
+}
+`
+
+// union is a fleet that agrees, with the network between its gateways.
+type union struct {
+	*fleet
+	wire    *standin.Wire
+	voters  int
+	t       testing.TB
+	members []*standin.Member
+	group   *standin.Group
+}
+
+func newUnion(t testing.TB, n, voters int) *union {
+	g, members := group(0, 2)
+	u := &union{wire: standin.NewWire(1), voters: voters, t: t, members: members, group: g}
+	u.fleet = newFleet(0, agreeing, members...)
+	u.addresses = map[int]string{}
+	u.fleet.via = func(p *process) string {
+		if u.addresses[p.no] == "" {
+			u.addresses[p.no] = u.wire.Join(p.peer)
+		}
+		return u.addresses[p.no]
+	}
+	u.fleet.add(n)
+	t.Cleanup(func() {
+		u.stop()
+		u.wire.Close()
+		if t.Failed() {
+			for _, p := range u.gateways {
+				p.drain()
+				t.Logf("gateway %d:\n%s", p.no, strings.Join(p.all, "\n"))
+			}
+		}
+	})
+	u.said(0, "fleet", "found")
+	u.await("all have joined", func() bool { return strings.Count(u.said(0, "fleet", "status"), "127.0.0.5") == n })
+	for i := 1; i < voters; i++ {
+		u.said(0, "fleet", "voters", "--add", fmt.Sprint("n", i))
+	}
+	for i := range u.gateways {
+		u.await("it may act", func() bool { return strings.Contains(u.said(i, "fleet", "status"), "may act") })
+	}
+	u.await("all vote", func() bool { return strings.Count(u.said(0, "fleet", "status"), "true") == voters })
+	return u
+}
+
+func (u *union) said(gateway int, args ...string) string {
+	return command(append(args, "--control", filepath.Join(u.dir, fmt.Sprintf("ledger%d.sock", gateway)))...)
+}
+
+func (u *union) await(what string, f func() bool) {
+	u.t.Helper()
+	for began := time.Now(); !f(); time.Sleep(20 * time.Millisecond) {
+		if time.Since(began) > soon {
+			u.t.Fatal("not in time: ", what)
+		}
+	}
+}
+
+// apply has a gateway ask for a change; it gives what the command said.
+func (u *union) apply(gateway int, text string) string {
+	path := filepath.Join(u.dir, fmt.Sprintf("change%d.hcl", gateway))
+	must(os.WriteFile(path, []byte(text), 0o600))
+	return u.said(gateway, "config", "apply", "--why", "a test", path)
+}
+
+// holds waits until some gateways act on a version.
+func (u *union) holds(version int, gateways ...int) {
+	u.t.Helper()
+	for _, i := range gateways {
+		u.await(fmt.Sprintf("gateway %d acts on version %d", i, version), func() bool {
+			said := u.said(i, "fleet", "status")
+			return strings.Contains(said, fmt.Sprintf("routes: version %d (", version)) && !strings.Contains(said, "next version") && strings.Contains(said, "may act")
+		})
+	}
+}
+
+// halt stops a process as it stands, and waits until all of its threads do.
+func (p *process) halt() {
+	must(p.cmd.Process.Signal(syscall.SIGSTOP))
+	until(func() bool {
+		tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+		must(err)
+		for _, x := range tasks {
+			text, err := os.ReadFile(x)
+			if _, after, ok := strings.Cut(string(text), ") "); err == nil && ok && after[0] != 'T' {
+				return false
+			}
+		}
+		return len(tasks) > 0
+	})
+}
+
+// leader is who leads as a voter knows it.
+func (u *union) leader(asked ...int) int {
+	u.t.Helper()
+	at := -1
+	u.await("somebody leads", func() bool {
+		for _, i := range asked {
+			var name string
+			said := u.said(i, "fleet", "status")
+			if _, after, ok := strings.Cut(said, "votes; "); ok {
+				if n, _ := fmt.Sscanf(after, "%s leads", &name); n == 1 && strings.HasPrefix(name, "n") {
+					if k, _ := fmt.Sscanf(name, "n%d", &at); k == 1 {
+						return true
+					}
+				}
+			}
+		}
+		return false
+	})
+	return at
+}
+
+// moves is a change that the others contradict: reads are run as another tenant's, which may have none.
+func moves(n int) string {
+	return fmt.Sprintf("route \"moved\" {\n  types  = [\"any\"]\n  tenant = \"t%d\"\n}\ntenant \"t%d\" {\n  in_flight = 50\n}\n", n, n)
+}
+
+// load asks all gateways for reads and writes until it is ended, and tells what was not right.
+type load struct {
+	stop           chan struct{}
+	wg             sync.WaitGroup
+	served, others atomic.Int64
+	declined       atomic.Int64
+	mu             sync.Mutex
+	wrong          map[string]int
+}
+
+func (u *union) load() *load {
+	l := &load{stop: make(chan struct{}), wrong: map[string]int{}}
+	for i := range u.gateways {
+		for _, class := range []string{"any", "session"} {
+			l.wg.Add(1)
+			go func() {
+				defer l.wg.Done()
+				c := u.front.NewClient(fmt.Sprintf("%08x", 0xe00+i), standin.Classes{Read: class, Write: "keyed"})
+				defer c.Close()
+				for n := 0; ; n++ {
+					select {
+					case <-l.stop:
+						return
+					case <-time.After(5 * time.Millisecond):
+					}
+					a := c.Read(i)
+					switch {
+					case a.Err == nil && a.Code == "":
+						l.served.Add(1)
+					case a.Code == "53300":
+						l.declined.Add(1)
+					case a.Err != nil:
+						l.others.Add(1) // its gateway was killed or stopped
+					default:
+						l.mu.Lock()
+						l.wrong[a.String()]++
+						l.mu.Unlock()
+					}
+				}
+			}()
+		}
+	}
+	return l
+}
+
+func (l *load) end(t testing.TB) {
+	t.Helper()
+	close(l.stop)
+	l.wg.Wait()
+	t.Logf("%d served, %d declined, %d without an answer", l.served.Load(), l.declined.Load(), l.others.Load())
+	if len(l.wrong) > 0 || l.served.Load() == 0 {
+		t.Fatalf("%d served, %v", l.served.Load(), l.wrong)
+	}
+}
+
+// A fleet of five, three of which vote, under load and a network that loses and repeats, while what can fail fails: after
+// each there is one history, and the next change comes in force at all that can be reached.
+func TestAgreedUnderFaults(t *testing.T) {
+	u := newUnion(t, 5, 3)
+	l := u.load()
+	u.wire.Rough(0.05, 0.05, 5*time.Millisecond)
+	all := []int{0, 1, 2, 3, 4}
+	want := func(gateway, version int) {
+		t.Helper()
+		if said := u.apply(gateway, moves(version)); !strings.Contains(said, fmt.Sprintf("version %d is agreed on", version)) {
+			t.Fatalf("version %d: %s", version, said)
+		}
+	}
+	want(4, 1)
+	u.holds(1, all...)
+
+	// One is stopped, as somebody is in any fleet: it holds nobody up. A txn that waits at it while the others move its
+	// tenant is not served by former rules when it goes on, not even as the first thing that it does.
+	c := u.front.NewClient("ca00", standin.Classes{Read: "any", Write: "keyed"})
+	c.Time = 30 * time.Second
+	if a := c.Read(4); a.Code != "" || a.Err != nil {
+		t.Fatal(a)
+	}
+	u.gateways[4].halt()
+	waited := make(chan standin.Answer, 1)
+	go func() { waited <- c.Read(4) }()
+	for v := 2; v <= 4; v++ {
+		want(v%4, v)
+		u.holds(v, 0, 1, 2, 3)
+	}
+	must(u.gateways[4].cmd.Process.Signal(syscall.SIGCONT))
+	if a := <-waited; a.Code != "53300" {
+		t.Fatalf("a gateway that stood still served by former rules: %v", a)
+	}
+	c.Close()
+	u.holds(4, 4)
+
+	// The leader is killed with a change half-way: another one goes on with it.
+	at := u.leader(0, 1, 2)
+	want(3, 5)
+	u.gateways[at].kill()
+	others := []int{}
+	for _, i := range all {
+		if i != at {
+			others = append(others, i)
+		}
+	}
+	u.holds(5, others...)
+	u.gateways[at].start()
+	u.holds(5, at)
+
+	// Cut off from the others but not from its clients: it is careful, and takes what holds when it is back.
+	c = u.front.NewClient("ca01", standin.Classes{Read: "any", Write: "keyed"})
+	last, ended := time.Now(), make(chan struct{})
+	u.wire.Part(3, true)
+	go func() { // until it declines what a change may have moved
+		defer close(ended)
+		for a := c.Read(3); a.Code == "" && a.Err == nil; a = c.Read(3) {
+			last = time.Now()
+		}
+	}()
+	want(0, 6)
+	agreed := time.Now()
+	u.holds(6, 0, 1, 2, 4)
+	<-ended
+	if d := last.Sub(agreed); d > 3*time.Second {
+		t.Fatalf("acted on a former version for %v", d)
+	} else {
+		t.Logf("a gateway that was cut off acted on the former version for %v, 3s are stated", max(0, d))
+	}
+	u.await("it is careful", func() bool { return strings.Contains(u.said(3, "fleet", "status"), "careful") })
+	if a := c.Read(3); a.Code != "53300" || a.After == "" {
+		t.Fatalf("a txn that the versions do not share, at a gateway that can't renew: %v", a)
+	}
+	c.Class.Read = "session"
+	if a := c.Read(3); a.Code != "" || a.Err != nil {
+		t.Fatalf("a txn of the ordinary path, at a gateway that can't renew: %v", a)
+	}
+	c.Close()
+	u.wire.Part(3, false)
+	u.holds(6, all...)
+
+	// Two operators at once: one wins, the other is told by whom.
+	said := make(chan string, 2)
+	for i := range 2 {
+		go func() { said <- u.apply(3+i, moves(70+i)) }()
+	}
+	first, second := <-said, <-said
+	if strings.Contains(first, "agreed on") == strings.Contains(second, "agreed on") || !strings.Contains(first+second, "put version 7") {
+		t.Fatalf("two operators: %s / %s", first, second)
+	}
+	u.holds(7, all...)
+
+	// All that vote are killed and started again.
+	for i := range 3 {
+		u.gateways[i].kill()
+	}
+	for i := range 3 {
+		u.gateways[i].start()
+	}
+	u.holds(7, all...)
+	want(2, 8)
+	u.holds(8, all...)
+	u.wire.Rough(0, 0, 0)
+	l.end(t)
+	history := u.said(0, "config", "history")
+	for i := 1; i < 3; i++ {
+		if other := u.said(i, "config", "history"); other != history {
+			t.Fatalf("two histories:\n%s\n%s", history, other)
+		}
+	}
+}
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -24,6 +24,9 @@
 	settings string
 	ghosts   int // gateways in the list that never run
 	closers  []func()
+	via      func(*process) string // at which address others reach a gateway, nil at its own
+
+	addresses map[int]string
 }
 
 // process is one gateway.
@@ -115,7 +118,15 @@
 	var args []string
 	if f.operator != "" {
 		p.operatorFile = filepath.Join(f.dir, fmt.Sprintf("operator%d.hcl", p.no))
-		words := strings.NewReplacer("%LISTEN%", p.peer, "%GATEWAYS%", f.peerList(), "%DIR%", filepath.Join(f.dir, fmt.Sprint("ledger", p.no)))
+		address, voters := p.peer, "[]"
+		if f.via != nil {
+			var ask []string
+			for _, x := range f.gateways[:min(3, len(f.gateways))] {
+				ask = append(ask, fmt.Sprintf("%q", f.via(x)))
+			}
+			address, voters = f.via(p), "["+strings.Join(ask, ", ")+"]"
+		}
+		words := strings.NewReplacer("%ADDRESS%", address, "%VOTERS%", voters, "%LISTEN%", p.peer, "%GATEWAYS%", f.peerList(), "%DIR%", filepath.Join(f.dir, fmt.Sprint("ledger", p.no)))
 		must(os.WriteFile(p.operatorFile, []byte(words.Replace(f.operator)), 0o600))
 		args = []string{"serve", "--operator", p.operatorFile}
 	}
@@ -138,6 +149,18 @@
 	p.logged("listening")
 }
 
+// drain takes what it has logged so far.
+func (p *process) drain() {
+	for {
+		select {
+		case line := <-p.log:
+			p.all = append(p.all, line)
+		default:
+			return
+		}
+	}
+}
+
 // kill ends it as the kernel would.
 func (p *process) kill() {
 	if p.cmd != nil {
