--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -45,6 +45,21 @@
 #   silence     = "10s"
 # }
 
+# Gateways agree on one version of what follows, with leases and a stated time for contradictions: docs/agreement.md. It takes the
+# place of spread and of changes.
+# agreement {
+#   listen            = "10.0.0.4:7946"  # as that of sessions' peers, if there are any
+#   address           = "10.0.0.4:7946"  # at which others reach it; usually listen
+#   ask               = ["10.0.0.4:7946", "10.0.1.4:7946", "10.0.2.4:7946"] # who votes
+#   folder            = "/var/lib/magpieglade/agreement" # of a gateway that is to vote
+#   zone              = "a"
+#   lease             = "2500ms" # lease + clock_error + turn: versions contradict each other for no longer
+#   clock_error       = "250ms"
+#   turn              = "250ms"
+#   without_agreement = "decline" # "serve": txns that a route rules, at a gateway that can't renew
+#   key "1" { file = "peer-1.key" }
+# }
+
 # What follows can be changed while a gateway runs: docs/configuration.md.
 
 # control = "/run/magpieglade/control"  # magpieglade config apply|status|history|keep|undo --control ...
@@ -63,6 +78,7 @@
 #   rate      = 200  # txns a second
 #   burst     = 20
 #   connections = 100 # of its clients
+#   without_agreement = "serve" # its txns at a gateway that can't renew what the fleet agreed on
 # }
 
 # route "reports" { # the first that matches counts
