--- a/agreement/fleet_test.go
+++ b/agreement/fleet_test.go
@@ -42,6 +42,7 @@
 	id      ID
 	a       *Agreement
 	rate    float64
+	offset  int64 // of its clock, another one at each start
 	disk    [][]byte
 	epoch   uint64
 	down    bool
@@ -131,6 +132,7 @@
 		w.byID[p.id] = p
 	}
 	p.epoch++
+	p.offset = int64(w.rng.Float64() * 1000e9)
 	t := UsualTerms()
 	t.Self, t.Epoch, t.Seed = p.id, p.epoch<<32, uint64(w.rng.Uint32())
 	for _, o := range w.nodes[:min(3, len(w.nodes))] {
@@ -150,7 +152,7 @@
 	}
 }
 
-func (p *process) clock() int64 { return int64(float64(p.w.now)*p.rate) + int64(p.id)*second }
+func (p *process) clock() int64 { return int64(float64(p.w.now)*p.rate) + p.offset }
 
 // turn has it take something and do what it decides.
 func (p *process) turn(f func()) {
