A version that one gateway's health speaks against is undone by all, as an entry of the log

Need: a local undo would have one gateway act on a former version beside the others. A watched version whose health worsens, or that an operator undoes by hand, has its gateway ask for the former text as the next version, with who and why; until that is agreed on the version stays. A version says how long it is watched.

--- a/agreement/book.go
+++ b/agreement/book.go
@@ -52,6 +52,7 @@
 	Why         string   `json:"why,omitempty"`
 	Clashes     []string `json:"clashes,omitempty"` // why it must not be in force beside its predecessor; none: it may
 	Undoes      uint64   `json:"undoes,omitempty"`
+	Watch       int64    `json:"watch,omitempty"` // nanoseconds for which gateways watch their health by it
 }
 
 // Gateway is an entry of the list of gateways.
--- a/agreement/transcripts_test.go
+++ b/agreement/transcripts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -86,6 +87,28 @@
 	}
 }
 
+// How long a fleet is without a leader after one is killed. Run by hand: -bench Election -benchtime 1x.
+func BenchmarkElection(b *testing.B) {
+	var leads, all []int64
+	for seed := range uint64(300) {
+		w := newWorld(b, seed, 5)
+		w.found(3)
+		w.run(3*second + int64(seed)*7e6)
+		p, began := w.leader(), w.now
+		p.kill()
+		w.until(20*second, func() bool { return w.leader() != nil })
+		leads = append(leads, w.now-began)
+		w.until(20*second, func() bool { return w.leased() == 4 })
+		all = append(all, w.now-began)
+	}
+	slices.Sort(leads)
+	slices.Sort(all)
+	for part, at := range map[string]int{"p50": 150, "p99": 297} {
+		b.ReportMetric(float64(leads[at])/1e6, part+"-leader-ms")
+		b.ReportMetric(float64(all[at])/1e6, part+"-all-act-ms")
+	}
+}
+
 // What a fleet costs, and how long a change takes. Run by hand: -bench Fleet -benchtime 1x.
 func BenchmarkFleet(b *testing.B) {
 	for _, n := range []int{5, 300, 2000} {
--- a/gateway/agreed.go
+++ b/gateway/agreed.go
@@ -28,6 +28,7 @@
 	waits    map[uint64]func(agreement.Outcome)
 	prepared *prepared
 	known    map[agreement.Digest]*generation // by their texts, those that are alive
+	former   *generation                      // that was in force before the one that is
 }
 
 // prepared is a manifest whose texts are compiled, and which is not yet in force here.
@@ -112,7 +113,7 @@
 				err = fmt.Errorf("%w: %v", err, findings)
 				break
 			}
-			x.version = t.v.No
+			x.version, x.watch = t.v.No, t.v.Watch
 			made[t.v.Digest] = x
 			*t.to = x
 		}
@@ -148,7 +149,8 @@
 		if gs.inForce != want && !p.staged {
 			p.staged = true
 			if want.no != 0 && gs.all[want.no] == nil || want.no == 0 && p.inForce != nil {
-				if _, err := gs.propose(want, Change{Digest: want.digest, Again: true}, false); err != nil {
+				a.former = gs.inForce
+				if _, err := gs.propose(want, Change{Digest: want.digest, Watch: want.watch, Again: true}, false); err != nil {
 					a.g.log.Error("a version of the fleet is not taken", "why", err)
 				}
 			}
@@ -259,7 +261,7 @@
 
 // propose has the fleet agree on a change as the version that follows the one held here.
 func (a *agreed) propose(c Change) (agreement.Wish, []byte, error) {
-	v := agreement.Version{Subject: subjectRoutes, Who: c.Who, At: time.Now().UnixNano(), Why: c.Why, Form: routes.Form}
+	v := agreement.Version{Subject: subjectRoutes, Who: c.Who, At: time.Now().UnixNano(), Why: c.Why, Form: routes.Form, Watch: c.Watch}
 	var before *routes.Document
 	for _, s := range a.f.Held().Subjects {
 		if s.Name != subjectRoutes {
@@ -281,6 +283,32 @@
 	return agreement.Wish{Version: &v}, c.Text, nil
 }
 
+// nothing is the text of all as the platform says.
+const nothing = "# all is as the platform says\n"
+
+// undo has the fleet agree on what was in force before a version, as this gateway's health speaks against that one, or an
+// operator does. Until it is agreed the version stays: two gateways act on one.
+func (a *agreed) undo(x *generation) {
+	text, before := []byte(nothing), (*routes.Document)(nil)
+	if a.former != nil && a.former.text != nil {
+		text, before = a.former.text, a.former.document
+	}
+	why := "watched"
+	if all := a.g.generations.module.Status().Finished; len(all) > 0 {
+		why = string(all[len(all)-1].Why) + all[len(all)-1].Text
+	}
+	v := agreement.Version{Subject: subjectRoutes, Predecessor: x.version, Undoes: x.version, Who: "gateway " + a.g.config.Name,
+		At: time.Now().UnixNano(), Why: why, Form: routes.Form, Clashes: routes.Clashes(x.document, before)}
+	no, err := a.f.Ask(agreement.Wish{Version: &v}, text, askPatience)
+	if err != nil {
+		a.g.log.Error("a version is not undone", "version", x.version, "why", err)
+		return
+	}
+	a.waits[no] = func(o agreement.Outcome) {
+		a.g.log.Info("undo of a version", "version", x.version, "agreed", o.Done, "why", o.Why)
+	}
+}
+
 // FoundFleet begins a fleet with this gateway as its one voter.
 func (g *Gateway) FoundFleet(ctx context.Context) error {
 	return g.inLoop(ctx, func() error {
--- a/gateway/agreed_test.go
+++ b/gateway/agreed_test.go
@@ -310,3 +310,34 @@
 		}
 	}
 }
+
+// What one gateway's health speaks against, or an operator undoes, is undone by all: its former text is the next version.
+func TestWorseVersionIsUndoneByAll(t *testing.T) {
+	u := newUnion(t, 3, 1)
+	l := u.load()
+	defer l.end(t)
+	for i := range u.gateways { // each has a time before that it judges by
+		u.await("health is known", func() bool { return strings.Contains(u.said(i, "config", "status"), "spread") })
+	}
+	if said := u.apply(1, "watch = \"20s\"\nroute \"bad\" {\n  types = [\"any\"]\n  expiry = \"1ms\"\n}\n"); !strings.Contains(said, "version 1 is agreed on") {
+		t.Fatal(said)
+	}
+	u.holds(2, 0, 1, 2)
+	history := u.said(0, "config", "history")
+	if !strings.Contains(history, "gateway n") || !strings.Contains(history, "health worsened") {
+		t.Fatal(history)
+	}
+	if said := u.apply(2, "watch = \"1m\"\n"+moves(3)); !strings.Contains(said, "version 3 is agreed on") {
+		t.Fatal(said)
+	}
+	u.holds(3, 0, 1, 2)
+	u.said(1, "config", "undo")
+	u.holds(4, 0, 1, 2)
+	if history := u.said(0, "config", "history"); !strings.Contains(history, "by hand") {
+		t.Fatal(history)
+	}
+	if said := u.said(0, "config", "restore", "3"); !strings.Contains(said, "version 5 is agreed on, with the text of version 3") {
+		t.Fatal(said)
+	}
+	u.holds(5, 0, 1, 2)
+}
--- a/gateway/generations.go
+++ b/gateway/generations.go
@@ -38,6 +38,7 @@
 	retries  *routes.Retries
 	txns     int
 	version  uint64          // that the fleet gave it, 0 for none
+	watch    int64           // for which that one is watched
 	barred   map[string]bool // members that it excludes or drains
 }
 
@@ -225,7 +226,13 @@
 			return
 		}
 		switch d.Kind {
-		case rollout.Apply, rollout.Undo:
+		case rollout.Undo:
+			if gs.g.agreed != nil { // all undo it, or none
+				gs.g.agreed.undo(gs.inForce)
+				continue
+			}
+			gs.enter(gs.all[d.Generation])
+		case rollout.Apply:
 			gs.enter(gs.all[d.Generation])
 		case rollout.Save:
 			gs.save()
