--- a/agreement/holder.go
+++ b/agreement/holder.go
@@ -12,6 +12,10 @@
 // renewals is how often a gateway asks for its lease in the time of one: two may be lost.
 const renewals = 4
 
+// urgent is how often a gateway asks that may not act: nobody in a fleet without a leader waits long for its lease once
+// there is one again.
+const urgent = 16
+
 // holder is what a gateway holds of what is agreed on.
 type holder struct {
 	a        *Agreement
@@ -84,6 +88,9 @@
 		return
 	}
 	span := h.a.terms.Lease / renewals
+	if h.a.now >= h.until {
+		span = h.a.terms.Lease / urgent
+	}
 	if !h.heard && h.askedAt > 0 && len(h.voters) > 1 {
 		h.voters = append(h.voters[1:], h.voters[0])
 	}
--- a/agreement/leases.go
+++ b/agreement/leases.go
@@ -91,7 +91,7 @@
 		return
 	}
 	v.promisedUntil = v.a.now + v.a.terms.Stated()
-	v.electAt = v.promisedUntil + v.a.chance(v.a.terms.Lease/2)
+	v.electAt = v.promisedUntil + v.a.chance(v.a.terms.Lease/spread)
 	if m.Echo != 0 && m.Run == v.a.terms.Epoch && m.Left > 0 && m.Stamp <= v.book.Stamp {
 		v.authority = max(v.authority, m.Echo+m.Left)
 	}
--- a/agreement/voter.go
+++ b/agreement/voter.go
@@ -15,6 +15,7 @@
 
 // Parts of a lease, and sizes of the log. Sources: ours.
 const (
+	spread      = 8   // of a lease: so far apart by chance voters campaign, some ways there and back
 	beats       = 8   // a leader is heard this often in a lease, so that one lost beat costs nothing
 	mostEntries = 512 // after which a snapshot takes the place of the log
 	mostMessage = 900 // bytes of entries in a message: with its head it is one datagram
@@ -187,7 +188,7 @@
 func (v *voter) starts(now int64) {
 	v.promisedUntil = now + v.a.terms.Stated()
 	v.blindUntil = v.promisedUntil
-	v.electAt = v.promisedUntil + v.a.chance(v.a.terms.Lease/2)
+	v.electAt = v.promisedUntil + v.a.chance(v.a.terms.Lease/spread)
 }
 
 // steps takes a message of the log's protocol.
@@ -227,7 +228,7 @@
 func (v *voter) round() {
 	v.turnsLeader()
 	if v.leads == 0 && v.a.now >= v.electAt && v.votes() {
-		v.electAt = v.a.now + v.a.terms.Lease/4 + v.a.chance(v.a.terms.Lease/2)
+		v.electAt = v.a.now + v.a.terms.Lease/spread + v.a.chance(v.a.terms.Lease/spread)
 		_ = v.node.Campaign()
 	}
 	if v.leads != 0 && v.a.now >= v.beatAt {
@@ -258,7 +259,7 @@
 		v.a.log("leads the fleet's log, term %d", st.Term)
 	case !leads && v.leads != 0:
 		v.leads = 0
-		v.electAt = v.a.now + v.a.terms.Stated() + v.a.chance(v.a.terms.Lease/2)
+		v.electAt = v.a.now + v.a.terms.Stated() + v.a.chance(v.a.terms.Lease/spread)
 		v.a.log("no longer leads the fleet's log, term %d", st.Term)
 	}
 }
