--- a/agreement/voter.go
+++ b/agreement/voter.go
@@ -43,6 +43,7 @@
 	authority     int64 // until when it may grant, as its leader has said
 	grants        map[ID]grant
 
+	lead   uint64 // who leads as it knows
 	leads  uint64 // the term that it leads in, 0 for none
 	beatAt int64
 	peers  map[ID]*peer
@@ -249,6 +250,11 @@
 // turnsLeader notes when it begins or ceases to lead.
 func (v *voter) turnsLeader() {
 	st := v.node.BasicStatus()
+	if st.Lead != v.lead { // a new one is given the time of a few beats: the first may have come before it was known
+		if v.lead = st.Lead; st.Lead != 0 {
+			v.electAt = max(v.electAt, v.a.now+v.a.terms.Lease/renewals+v.a.chance(v.a.terms.Lease/spread))
+		}
+	}
 	switch leads := st.RaftState == raft.StateLeader; {
 	case leads && v.leads != st.Term:
 		v.leads, v.beatAt, v.confAt, v.wished = st.Term, v.a.now, 0, 0
@@ -258,8 +264,11 @@
 		}
 		v.a.log("leads the fleet's log, term %d", st.Term)
 	case !leads && v.leads != 0:
+		v.electAt = v.a.now + v.a.chance(v.a.terms.Lease/spread)
+		if v.until() != 0 { // it let others act; one that two took at once did not
+			v.electAt += v.a.terms.Stated()
+		}
 		v.leads = 0
-		v.electAt = v.a.now + v.a.terms.Stated() + v.a.chance(v.a.terms.Lease/spread)
 		v.a.log("no longer leads the fleet's log, term %d", st.Term)
 	}
 }
