Metrics and a screen of the fleet; a new version ends the watch of the former

Mended: since versions are watched, and the next one waited for the end of that watch, up to 30 s (TestAgreedUnderFaults was red with it: 'gateway 0 acts on version 2' not in 20 s); at fault: Propose stages what comes under a watch. The fleet's going on ends it (KeepBy).

--- a/gateway/agreed.go
+++ b/gateway/agreed.go
@@ -150,6 +150,7 @@
 			p.staged = true
 			if want.no != 0 && gs.all[want.no] == nil || want.no == 0 && p.inForce != nil {
 				a.former = gs.inForce
+				_ = gs.module.KeepBy(rollout.ByFleet) // what is still watched is over: the fleet has gone on
 				if _, err := gs.propose(want, Change{Digest: want.digest, Watch: want.watch, Again: true}, false); err != nil {
 					a.g.log.Error("a version of the fleet is not taken", "why", err)
 				}
@@ -206,6 +207,7 @@
 		if usual {
 			return routes.Free, 0
 		}
+		a.g.counts.unagreed++
 		return routes.Unagreed, stated
 	}
 	alike, ruled := true, t.route.Route >= 0
@@ -220,9 +222,31 @@
 	if alike && (!ruled || a.Now() < a.f.Leased()) || gs.inForce.table.ServesWithout(t.route.Tenant, usual) {
 		return routes.Free, 0
 	}
+	a.g.counts.unagreed++
 	return routes.Unagreed, stated
 }
 
+// Figures are what a gateway counts, and how it stands to its fleet, nil where it agrees on nothing.
+type Figures struct {
+	Taken, Declined, RolledBack, Withdrawn, Unagreed int // txns of its whole life
+	Fleet                                            *fleet.Status
+}
+
+// Figures tells them.
+func (g *Gateway) Figures(ctx context.Context) (*Figures, error) {
+	var f Figures
+	err := g.inLoop(ctx, func() error {
+		c := &g.counts
+		f = Figures{Taken: c.taken, Declined: c.declined, RolledBack: c.rolledBack, Withdrawn: c.withdrawn, Unagreed: c.unagreed}
+		if g.agreed != nil {
+			s := g.agreed.f.Status()
+			f.Fleet = &s
+		}
+		return nil
+	})
+	return &f, err
+}
+
 // ready tells whether clients may come: not before it knows what holds, or has asked for it long enough.
 func (a *agreed) ready() bool {
 	return a.held || a.f.Plan().Serve || time.Since(a.g.clock.began) > 2*time.Duration(a.f.Plan().Terms.Stated())
--- a/gateway/agreed_test.go
+++ b/gateway/agreed_test.go
@@ -277,6 +277,10 @@
 		t.Fatalf("a txn of the ordinary path, at a gateway that can't renew: %v", a)
 	}
 	c.Close()
+	if said := u.said(3, "metrics"); !strings.Contains(said, "magpieglade_fleet_version_in_force 5") || strings.Contains(said, "txns_unagreed_total 0") ||
+		!strings.Contains(said, "magpieglade_fleet_lease_left_seconds -") {
+		t.Fatal(said)
+	}
 	u.wire.Part(3, false)
 	u.holds(6, all...)
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,7 +74,7 @@
 }
 
 // counts are of this gateway's whole life, for the line at its end.
-type counts struct{ taken, declined, rolledBack, withdrawn int }
+type counts struct{ taken, declined, rolledBack, withdrawn, unagreed int }
 
 // New checks the configuration and prepares a gateway; Run starts it.
 func New(c Config) (*Gateway, error) {
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -38,10 +38,16 @@
 	return name
 }
 
-type fleetStatus struct{ socket }
+type fleetStatus struct {
+	socket
+	Watch bool `help:"Go on telling it, on a screen."`
+}
 
 // Run tells it.
 func (s *fleetStatus) Run(out io.Writer) error {
+	if s.Watch {
+		return s.watch(out)
+	}
 	r, err := s.ask(out, "GET", "fleet", nil)
 	if err != nil || s.JSON {
 		return err
--- /dev/null
+++ b/internal/cli/watch_test.go
@@ -0,0 +1,49 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	tea "github.com/charmbracelet/bubbletea"
+
+	"magpieglade/agreement"
+	"magpieglade/fleet"
+)
+
+// The screen of a fleet: what it shows while the gateway answers, when it does not, and how it ends.
+func Example_fleetScreen() {
+	var m tea.Model = screen{control: "x"}
+	show := func(msg tea.Msg) {
+		m, _ = m.Update(msg)
+		for _, line := range strings.Split(strings.TrimSpace(m.View()), "\n") {
+			fmt.Println(strings.TrimRight(line, " "))
+		}
+	}
+	v := &agreement.Version{No: 3, Who: "ann"}
+	show(looked{status: &fleet.Status{Self: 1, Votes: true, Leader: 2, Term: 4, Left: 15e8, Stated: 3e9, Held: agreement.Manifest{
+		Subjects: []agreement.Standing{{Name: "routes", InForce: v, Next: &agreement.Version{No: 4, Who: "bob"}}},
+		Gateways: []agreement.Gateway{{ID: 1, Name: "n1", Address: "10.0.0.4:7946", Zone: "a", Vote: true}, {ID: 2, Name: "n2", Address: "10.0.0.5:7946", Vote: true}}}}})
+	show(looked{err: errors.New("the gateway is gone")})
+	_, end := m.Update(tea.KeyMsg{Type: tea.KeyCtrlC})
+	fmt.Println(end() == tea.Quit())
+	// Output:
+	// lease [###############               ]
+	// n1 may act for 1.5s; versions contradict each other for 3s at most
+	// votes; n2 leads, term 4
+	// routes: version 3 (000000000000) by ann, next version 4 (000000000000) by bob
+	// gateway  address        zone  build  votes
+	// n1       10.0.0.4:7946  a     -      true
+	// n2       10.0.0.5:7946  -     -      true
+	// q ends
+	// ! the gateway is gone
+	// lease [###############               ]
+	// n1 may act for 1.5s; versions contradict each other for 3s at most
+	// votes; n2 leads, term 4
+	// routes: version 3 (000000000000) by ann, next version 4 (000000000000) by bob
+	// gateway  address        zone  build  votes
+	// n1       10.0.0.4:7946  a     -      true
+	// n2       10.0.0.5:7946  -     -      true
+	// q ends
+	// true
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -143,6 +143,7 @@
 		}
 		answer(w, Reply{Fleet: s}, err)
 	})
+	mux.Handle("GET /metrics", metricsOf(g))
 	mux.HandleFunc("POST /found", func(w http.ResponseWriter, r *http.Request) { answer(w, Reply{}, g.FoundFleet(r.Context())) })
 	mux.HandleFunc("POST /wish", func(w http.ResponseWriter, r *http.Request) {
 		q, err := asked(r)
--- /dev/null
+++ b/internal/control/metrics.go
@@ -0,0 +1,123 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"magpieglade/gateway"
+)
+
+// figures tells what a gateway counts when it is asked, and keeps nothing of its own.
+type figures struct {
+	g   *gateway.Gateway
+	all []figure
+}
+
+// figure is one of them; ok is false where the gateway has none.
+type figure struct {
+	desc *prometheus.Desc
+	kind prometheus.ValueType
+	of   func(*gateway.Figures) (value float64, ok bool)
+}
+
+func figuresOf(g *gateway.Gateway) *figures {
+	f := &figures{g: g}
+	add := func(name, help string, kind prometheus.ValueType, of func(*gateway.Figures) (float64, bool)) {
+		f.all = append(f.all, figure{prometheus.NewDesc("magpieglade_"+name, help, nil, nil), kind, of})
+	}
+	count := func(name, help string, of func(*gateway.Figures) int) {
+		add(name, help, prometheus.CounterValue, func(x *gateway.Figures) (float64, bool) { return float64(of(x)), true })
+	}
+	count("txns_taken_total", "Txns taken from clients.", func(x *gateway.Figures) int { return x.Taken })
+	count("txns_declined_total", "Txns declined.", func(x *gateway.Figures) int { return x.Declined })
+	count("txns_rolled_back_total", "Txns rolled back.", func(x *gateway.Figures) int { return x.RolledBack })
+	count("txns_withdrawn_total", "Txns whose client went away.", func(x *gateway.Figures) int { return x.Withdrawn })
+	count("txns_unagreed_total", "Of those declined, such that the fleet's agreement did not let this gateway decide.", func(x *gateway.Figures) int { return x.Unagreed })
+	gauge := func(name, help string, of func(*gateway.Figures) float64) {
+		add(name, help, prometheus.GaugeValue, func(x *gateway.Figures) (float64, bool) {
+			if x.Fleet == nil {
+				return 0, false
+			}
+			return of(x), true
+		})
+	}
+	gauge("fleet_lease_left_seconds", "For how long this gateway may act on what it holds; below 0 it is careful.", func(x *gateway.Figures) float64 { return float64(x.Fleet.Left) / 1e9 })
+	gauge("fleet_stated_seconds", "For how long versions may contradict each other at most.", func(x *gateway.Figures) float64 { return float64(x.Fleet.Stated) / 1e9 })
+	gauge("fleet_gateways", "Gateways in the list.", func(x *gateway.Figures) float64 { return float64(len(x.Fleet.Held.Gateways)) })
+	gauge("fleet_term", "Term of the log, at a gateway that votes.", func(x *gateway.Figures) float64 { return float64(x.Fleet.Term) })
+	version := func(next bool) func(*gateway.Figures) float64 {
+		return func(x *gateway.Figures) float64 {
+			for _, s := range x.Fleet.Held.Subjects {
+				v := s.InForce
+				if next {
+					v = s.Next
+				}
+				if v != nil {
+					return float64(v.No)
+				}
+			}
+			return 0
+		}
+	}
+	gauge("fleet_version_in_force", "Version of routes and limits in force here.", version(false))
+	gauge("fleet_version_next", "Version that binds beside it, 0 for none.", version(true))
+	return f
+}
+
+// Describe is for the library.
+func (f *figures) Describe(to chan<- *prometheus.Desc) {
+	for _, x := range f.all {
+		to <- x.desc
+	}
+}
+
+// Collect is for the library.
+func (f *figures) Collect(to chan<- prometheus.Metric) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	now, err := f.g.Figures(ctx)
+	if err != nil {
+		return
+	}
+	for _, x := range f.all {
+		if value, ok := x.of(now); ok {
+			to <- prometheus.MustNewConstMetric(x.desc, x.kind, value)
+		}
+	}
+}
+
+func metricsOf(g *gateway.Gateway) http.Handler {
+	r := prometheus.NewPedanticRegistry()
+	r.MustRegister(figuresOf(g))
+	return promhttp.HandlerFor(r, promhttp.HandlerOpts{})
+}
+
+// Metrics asks the gateway at a path for what it counts, in Prometheus' text form.
+func Metrics(ctx context.Context, path string, to io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	c := &http.Client{Transport: &http.Transport{DisableCompression: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, "unix", path)
+	}}}
+	defer c.CloseIdleConnections()
+	r, err := http.NewRequestWithContext(ctx, "GET", "http://gateway/metrics", nil)
+	if err != nil {
+		return err
+	}
+	answer, err := c.Do(r)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return fmt.Errorf("the gateway answers %s", answer.Status)
+	}
+	_, err = io.Copy(to, io.LimitReader(answer.Body, mostText))
+	return err
+}
