--- /dev/null
+++ b/gateway/transcript_test.go
@@ -0,0 +1,70 @@
+package gateway_test
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"magpieglade/standin"
+)
+
+// What an operator says to a fleet of processes and is told, and what a client gets: read and approved by a person, under
+// testdata. Times, addresses, names of machines and what is left of a lease are made alike. `-update` writes it anew.
+func TestTranscriptOfProcesses(t *testing.T) {
+	u := newUnion(t, 3, 1)
+	var out strings.Builder
+	alike := []struct {
+		at *regexp.Regexp
+		to string
+	}{
+		{regexp.MustCompile(`127\.0\.0\.5:\d+`), "ADDRESS"}, {regexp.MustCompile(`\d{4}-\d\d-\d\d \d\d:\d\d:\d\d`), "TIME"},
+		{regexp.MustCompile(`\S+@\S+`), "SOMEBODY"}, {regexp.MustCompile(`may act for \S+;`), "may act for LEFT;"}, {regexp.MustCompile(`term \d+`), "term T"},
+		{regexp.MustCompile(`/\S*/fleet\d+/`), ""}, {regexp.MustCompile(`  +`), "  "}, {regexp.MustCompile(`(ADDRESS  -  )\S+`), "${1}BUILD"},
+	}
+	tell := func(who, what, said string) {
+		for _, x := range alike {
+			said = x.at.ReplaceAllString(said, x.to)
+		}
+		fmt.Fprintf(&out, "%s> %s\n%s\n\n", who, what, strings.TrimSpace(said))
+	}
+	say := func(gateway int, args ...string) {
+		tell(fmt.Sprint("n", gateway), strings.Join(args, " "), u.said(gateway, args...))
+	}
+	apply := func(gateway int, text string) {
+		tell(fmt.Sprint("n", gateway), "config apply:\n"+strings.TrimSpace(text), u.apply(gateway, text))
+	}
+	c := u.front.NewClient("cb01", standin.Classes{Read: "any", Write: "keyed"})
+	defer c.Close()
+	read := func(gateway int) {
+		a := c.Read(gateway)
+		tell(fmt.Sprint("a client at n", gateway), "a read of type any", strings.TrimSpace(a.String()))
+	}
+	say(0, "fleet", "status")
+	apply(1, moves(1))
+	u.holds(1, 0, 1, 2)
+	say(2, "config", "history")
+	read(2)
+	apply(2, "route \"moved\" {\n  types = [\"none\"]\n}\n")
+	u.wire.Part(2, true)
+	u.await("n2 is careful", func() bool { return strings.Contains(u.said(2, "fleet", "status"), "careful") })
+	say(2, "fleet", "status")
+	read(2)
+	apply(0, moves(2))
+	u.holds(2, 0, 1)
+	read(1)
+	u.wire.Part(2, false)
+	u.holds(2, 2)
+	read(2)
+	say(0, "config", "restore", "1")
+	u.holds(3, 0, 1, 2)
+	say(0, "config", "history")
+	say(0, "fleet", "evict", "n9")
+	say(0, "fleet", "evict", "n2")
+	u.await("n2 is careful", func() bool { return strings.Contains(u.said(2, "fleet", "status"), "careful") })
+	say(0, "fleet", "leave")
+	say(0, "fleet", "status")
+	goldie.New(t, goldie.WithNameSuffix(".txt")).Assert(t, "agreed", []byte(out.String()))
+}
