--- a/cmd/magpieglade/main.go
+++ b/cmd/magpieglade/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"magpieglade/internal/cli"
+	"magpieglade/cli"
 )
 
 func main() { os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr)) }
