Versions that contradict nothing go by steps: one gateway, a share, all, in the log

Need: what was spread by rounds between gateways stood still when one was away or the first died. Now a step, its end and a dropped version are entries of the agreed log; who tries a version tells with its lease when its watch is over, each voter the least of those, and a step ends when all that may act are well. Contradicting versions go to all at once. Undo by health or by hand drops what is tried.

--- a/agreement/agreement.go
+++ b/agreement/agreement.go
@@ -78,6 +78,7 @@
 	Left     int64
 	Stamp    uint64
 	Known    uint64
+	Well     uint64 // in a Renew the latest version that was tried here and is well, in a Promise the latest that is with all that try one
 	Digest   Digest
 	Size     int
 	Offset   int
--- a/agreement/asks.go
+++ b/agreement/asks.go
@@ -49,7 +49,7 @@
 			return 0, errors.New("a text has from 1 to 262144 bytes")
 		}
 		v := *w.Version
-		v.Digest, v.Size = DigestOf(text), len(text)
+		v.Digest, v.Size, v.Asker = DigestOf(text), len(text), a.terms.Self
 		w.Version = &v
 	}
 	a.asked++
--- a/agreement/book.go
+++ b/agreement/book.go
@@ -53,6 +53,9 @@
 	Clashes     []string `json:"clashes,omitempty"` // why it must not be in force beside its predecessor; none: it may
 	Undoes      uint64   `json:"undoes,omitempty"`
 	Watch       int64    `json:"watch,omitempty"` // nanoseconds for which gateways watch their health by it
+	Share       float64  `json:"share,omitempty"` // of the gateways that get it before all do, after its asker alone; 0 is all at once
+	Asker       ID       `json:"asker,omitempty"`
+	Dropped     string   `json:"dropped,omitempty"` // why it never came in force at all
 }
 
 // Gateway is an entry of the list of gateways.
@@ -72,7 +75,8 @@
 	Versions []Version `json:"versions"` // the latest last
 	InForce  uint64    `json:"in_force"` // 0 is none yet
 	Next     uint64    `json:"next,omitempty"`
-	Changed  uint64    `json:"changed"` // the stamp of its last change
+	Step     int       `json:"step,omitempty"` // of Next, if some try it: see Standing
+	Changed  uint64    `json:"changed"`        // the stamp of its last change
 }
 
 // Version gives one of its versions, nil where it is not kept any more.
@@ -93,10 +97,18 @@
 
 // Wish is what a gateway asks to be agreed on: one of its parts.
 type Wish struct {
-	Version *Version `json:"version,omitempty"` // its No is given when it is agreed on
-	Join    *Gateway `json:"join,omitempty"`
-	Leave   ID       `json:"leave,omitempty"`
-	Vote    *Voting  `json:"vote,omitempty"`
+	Version *Version  `json:"version,omitempty"` // its No is given when it is agreed on
+	Join    *Gateway  `json:"join,omitempty"`
+	Leave   ID        `json:"leave,omitempty"`
+	Vote    *Voting   `json:"vote,omitempty"`
+	Drop    *Dropping `json:"drop,omitempty"`
+}
+
+// Dropping ends the steps of a version: who tries it goes back to the one in force.
+type Dropping struct {
+	Subject string `json:"subject"`
+	No      uint64 `json:"no"`
+	Why     string `json:"why"`
 }
 
 // Voting makes a gateway a voter, or one no more.
@@ -129,6 +141,7 @@
 type opening struct {
 	Subject string `json:"subject"`
 	No      uint64 `json:"no"`
+	Step    int    `json:"step,omitempty"` // to which it goes; 0 is that it is in force at all
 }
 
 // partial is a text in the log of which more parts are to come.
@@ -201,8 +214,12 @@
 	case e.Part != nil:
 		b.addPart(e.Part)
 	case e.Open != nil:
-		if s := b.Subject(e.Open.Subject); s != nil && s.Next == e.Open.No {
-			s.InForce, s.Next, s.Changed, b.Stamp = s.Next, 0, index, index
+		switch s := b.Subject(e.Open.Subject); {
+		case s == nil || s.Next != e.Open.No:
+		case e.Open.Step > s.Step:
+			s.Step, s.Changed, b.Stamp = e.Open.Step, index, index
+		case e.Open.Step == 0:
+			s.InForce, s.Next, s.Step, s.Changed, b.Stamp = s.Next, 0, 0, index, index
 		}
 	case e.Wish != nil:
 		if slices.ContainsFunc(b.Answers, func(x answered) bool { return x.Origin == e.Wish.Origin && x.No >= e.Wish.No }) {
@@ -268,6 +285,13 @@
 		voting := *g
 		voting.Vote = w.Vote.On
 		b.list(index, voting)
+	case w.Drop != nil:
+		s := b.Subject(w.Drop.Subject)
+		if s == nil || s.Next != w.Drop.No || s.Step == 0 {
+			return Outcome{Why: "it is not tried by steps, or no longer"}
+		}
+		s.Version(s.Next).Dropped = w.Drop.Why
+		s.Next, s.Step, s.Changed = 0, 0, index
 	default:
 		return Outcome{Why: "nothing was asked for"}
 	}
@@ -315,10 +339,7 @@
 		slices.SortFunc(b.Subjects, func(x, y Subject) int { return strings.Compare(x.Name, y.Name) })
 		s = b.Subject(v.Subject)
 	}
-	last := uint64(0)
-	if n := len(s.Versions); n > 0 {
-		last = s.Versions[n-1].No
-	}
+	last := s.last()
 	if s.Next != 0 {
 		n := s.Version(s.Next)
 		return Outcome{Wait: true, Why: fmt.Sprintf("version %d of %s by %s is on its way", n.No, s.Name, n.Who)}
@@ -345,9 +366,12 @@
 	}
 	v.No = last + 1
 	s.Versions = append(s.Versions, v)
-	if s.Changed, b.Stamp = index, index; len(v.Clashes) > 0 {
+	switch s.Changed, b.Stamp = index, index; {
+	case len(v.Clashes) > 0:
 		s.Next = v.No
-	} else {
+	case v.Share > 0:
+		s.Next, s.Step = v.No, trying
+	default:
 		s.InForce = v.No
 	}
 	if len(s.Versions) > mostHistory {
@@ -394,11 +418,39 @@
 	}
 }
 
-// Standing is a subject as gateways hold it: what is in force, and what comes next, as both bind until that is.
+// Steps of a version that does not contradict its predecessor: its asker tries it, then a share of the gateways.
+const (
+	trying = iota + 1
+	shared
+)
+
+// Standing is a subject as gateways hold it: what is in force, and what comes next. Where that is tried by steps, those of
+// the step act on it and the others on what is in force; else both bind until it is in force.
 type Standing struct {
 	Name    string   `json:"name"`
 	InForce *Version `json:"in_force,omitempty"`
 	Next    *Version `json:"next,omitempty"`
+	Step    int      `json:"step,omitempty"`
+	Last    uint64   `json:"last"` // version that the next one follows
+}
+
+// Tries tells whether a gateway is of the step in which a version is tried. Shares are by IDs, which are by chance.
+func (s *Standing) Tries(id ID) bool {
+	if s.Step == 0 || s.Next == nil {
+		return false
+	}
+	return s.Next.Asker == id || s.Step == shared && float64(uint64(id)*0x9e3779b97f4a7c15>>11)/(1<<53) < s.Next.Share
+}
+
+func (s *Subject) standing() Standing {
+	return Standing{s.Name, s.Version(s.InForce), s.Version(s.Next), s.Step, s.last()}
+}
+
+func (s *Subject) last() uint64 {
+	if n := len(s.Versions); n > 0 {
+		return s.Versions[n-1].No
+	}
+	return 0
 }
 
 // Manifest is what a gateway holds of what is agreed on, beside the texts.
@@ -414,8 +466,7 @@
 func (b *Book) manifest(known uint64) []byte {
 	m := Manifest{Stamp: b.Stamp}
 	for i := range b.Subjects {
-		s := &b.Subjects[i]
-		m.Subjects = append(m.Subjects, Standing{s.Name, s.Version(s.InForce), s.Version(s.Next)})
+		m.Subjects = append(m.Subjects, b.Subjects[i].standing())
 	}
 	if known > 0 && known >= b.Since {
 		m.Base = known
--- a/agreement/holder.go
+++ b/agreement/holder.go
@@ -26,6 +26,7 @@
 	until    int64
 	manifest Manifest
 	next     *Manifest // of which texts are fetched
+	well     uint64    // the latest version that was tried here and is well
 	coming   *Manifest // that the host prepares for
 	from     ID        // from whom
 	digest   Digest    // of the manifest that is fetched
@@ -40,6 +41,12 @@
 // Held is what this gateway holds of what is agreed on.
 func (a *Agreement) Held() *Manifest { return &a.holder.manifest }
 
+// Well tells that a version which this gateway tries is well with it.
+func (a *Agreement) Well(no uint64) {
+	a.holder.well = max(a.holder.well, no)
+	a.holder.askAt = a.now
+}
+
 // Coming is what the host is to act on next, nil if that is what Held tells.
 func (a *Agreement) Coming() *Manifest { return a.holder.coming }
 
@@ -100,7 +107,7 @@
 
 func (h *holder) ask() {
 	h.askedAt, h.heard = h.a.now, false
-	h.a.send(Message{Kind: Renew, To: h.voter(), No: h.a.now, Run: h.a.terms.Epoch, Known: h.manifest.Stamp})
+	h.a.send(Message{Kind: Renew, To: h.voter(), No: h.a.now, Run: h.a.terms.Epoch, Known: h.manifest.Stamp, Well: h.well})
 }
 
 // voter is whom it asks: itself, where it votes and may grant.
--- a/agreement/leases.go
+++ b/agreement/leases.go
@@ -18,6 +18,7 @@
 type grant struct {
 	known uint64
 	until int64
+	well  uint64
 }
 
 // until is until when the leader may act itself and let others: a lease from the latest beat by which a majority has
@@ -95,7 +96,7 @@
 	if m.Echo != 0 && m.Run == v.a.terms.Epoch && m.Left > 0 && m.Stamp <= v.book.Stamp {
 		v.authority = max(v.authority, m.Echo+m.Left)
 	}
-	v.a.send(Message{Kind: Promise, To: m.From, Term: m.Term, Echo: m.No, No: v.a.now, Run: v.a.terms.Epoch, Known: v.low()})
+	v.a.send(Message{Kind: Promise, To: m.From, Term: m.Term, Echo: m.No, No: v.a.now, Run: v.a.terms.Epoch, Known: v.low(), Well: v.well()})
 }
 
 // promised takes a voter's word.
@@ -110,7 +111,37 @@
 	if m.Run > p.run {
 		p.run, p.echo = m.Run, 0
 	}
-	p.acked, p.echo, p.low = max(p.acked, m.Echo), max(p.echo, m.No), max(p.low, m.Known)
+	p.acked, p.echo = max(p.acked, m.Echo), max(p.echo, m.No)
+	if m.Known >= p.low { // what is well is of what was known then
+		p.low, p.well = m.Known, m.Well
+	}
+}
+
+// well is the latest version with which all are well that try one by a grant of this voter: none does, all are.
+func (v *voter) well() uint64 {
+	well := uint64(1<<64 - 1)
+	for i := range v.book.Subjects {
+		s := v.book.Subjects[i].standing()
+		for id, g := range v.grants {
+			if s.Tries(id) && !v.over(g.until) {
+				well = min(well, g.well)
+			}
+		}
+	}
+	return well
+}
+
+// allWell tells that whoever tries a version and may act is well with it.
+func (v *voter) allWell(no uint64) bool {
+	if v.well() < no {
+		return false
+	}
+	for _, id := range v.peersInOrder() {
+		if p := v.peers[id]; p.well < no && len(p.sent) > 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // low is what all know that may act by a grant of this voter, 0 if it can't tell.
@@ -149,7 +180,7 @@
 func (v *voter) renew(m *Message) {
 	out := Message{Kind: Grant, To: m.From, Echo: m.No, Run: m.Run, Stamp: v.book.Stamp}
 	g, before := v.grants[m.From]
-	g.known = max(g.known, m.Known)
+	g.known, g.well = max(g.known, m.Known), max(g.well, m.Well)
 	if left := v.mayGrant() - v.a.now; left > 0 && m.Known >= v.book.Stamp && v.book.Gateway(m.From) != nil {
 		out.Left = min(left, v.a.terms.Lease)
 		g.until = max(g.until, v.a.now+out.Left)
@@ -213,9 +244,13 @@
 	}
 	for i := range v.book.Subjects {
 		s := &v.book.Subjects[i]
-		if s.Next != 0 && v.opens[s.Name] != s.Next && v.known(s.Changed) {
-			if v.propose(entry{Open: &opening{s.Name, s.Next}}) {
-				v.opens[s.Name] = s.Next
+		if at := s.Next*4 + uint64(s.Step); s.Next != 0 && v.opens[s.Name] != at && v.known(s.Changed) && (s.Step == 0 || v.allWell(s.Next)) {
+			o := opening{s.Name, s.Next, 0}
+			if s.Step == trying {
+				o.Step = shared
+			}
+			if v.propose(entry{Open: &o}) {
+				v.opens[s.Name] = at
 			}
 		}
 	}
--- a/agreement/transcripts_test.go
+++ b/agreement/transcripts_test.go
@@ -61,6 +61,17 @@
 			w.nodes[4].put("routes", 0, "of the other", []string{"a bound"}, tell)
 			w.run(10 * second)
 		},
+		"steps": func(w *world) {
+			w.share = 0.4
+			w.nodes[4].put("routes", 0, "tried", nil, tell)
+			w.run(4 * second)
+			w.nodes[3].put("routes", 1, "tried and dropped", nil, tell)
+			w.run(second / 10)
+			w.nodes[3].ask(Wish{Drop: &Dropping{"routes", 2, "health worsened"}}, "", 5*second, func(o Outcome) { w.say("g4 is told: %+v", o) })
+			w.run(2 * second)
+			w.nodes[3].put("routes", 2, "another", []string{"a bound"}, tell)
+			w.run(2 * second)
+		},
 		"new-voter": func(w *world) {
 			w.nodes[3].ask(Wish{Vote: &Voting{w.nodes[3].id, true}}, "", 5*second, func(o Outcome) { w.say("g4 is told: %+v", o) })
 			w.run(4 * second)
--- a/agreement/voter.go
+++ b/agreement/voter.go
@@ -48,18 +48,18 @@
 	beatAt int64
 	peers  map[ID]*peer
 	jobs   []*job
-	opens  map[string]uint64 // versions that were put into the log to come in force
+	opens  map[string]uint64 // versions, with their steps, that were put into the log to go on
 	confAt int64             // when a change of voters may be tried again
 	wished uint64            // the stamp that its voters were last told of
 }
 
 // peer is another voter as the leader knows it.
 type peer struct {
-	acked int64  // when the latest beat was sent that it has promised by
-	echo  int64  // its time of that promise
-	run   uint64 // the start that this was in
-	low   uint64
-	sent  []sent // what it may still grant by
+	acked     int64  // when the latest beat was sent that it has promised by
+	echo      int64  // its time of that promise
+	run       uint64 // the start that this was in
+	low, well uint64 // what all know, and the latest version that is well with all that try one, to whom it grants
+	sent      []sent // what it may still grant by
 }
 
 // sent is that a voter was told that it may grant until a time, if it knows a stamp.
--- a/cli/fleet.go
+++ b/cli/fleet.go
@@ -79,7 +79,14 @@
 	}
 	for _, x := range s.Held.Subjects {
 		fmt.Fprintf(out, "%s: %s", x.Name, versionOf(x.InForce))
-		if x.Next != nil {
+		switch {
+		case x.Next != nil && x.Step > 0:
+			where := "elsewhere"
+			if x.Tries(s.Self) {
+				where = "here too"
+			}
+			fmt.Fprintf(out, ", step %d of 2 tries %s, %s", x.Step, versionOf(x.Next), where)
+		case x.Next != nil:
 			fmt.Fprintf(out, ", next %s", versionOf(x.Next))
 		}
 		fmt.Fprintln(out)
@@ -121,6 +128,9 @@
 	fmt.Fprintln(table, "version\tdigest\twho\twhen\twhy\tcontradicts its predecessor")
 	for _, v := range all {
 		clashes := cmp.Or(strings.Join(v.Clashes, "; "), "no")
+		if v.Dropped != "" {
+			clashes += "; dropped: " + v.Dropped
+		}
 		fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\t%s\n", v.No, v.Digest, v.Who, time.Unix(0, v.At).UTC().Format(time.DateTime), cmp.Or(v.Why, "-"), clashes)
 	}
 	return table.Flush()
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -56,6 +56,7 @@
 #   lease             = "2500ms" # lease + clock_error + turn: versions contradict each other for no longer
 #   clock_error       = "250ms"
 #   turn              = "250ms"
+#   share             = 0.25    # of the gateways that try what contradicts nothing before all have it; without it all do at once
 #   without_agreement = "decline" # "serve": txns that a route rules, at a gateway that can't renew
 #   key "1" { file = "peer-1.key" }
 # }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -33,7 +33,8 @@
 	Ask     []netip.AddrPort // gateways that vote, or did when this was written
 	Folder  string           // where a gateway that votes keeps the log; without one it never votes
 	Keys    peerwire.Keys
-	Serve   bool // txns that no tenant's setting speaks of, while this gateway can't renew: served, not declined
+	Share   float64 // of the gateways that get a version before all do, if it does not contradict its predecessor; 0 is all at once
+	Serve   bool    // txns that no tenant's setting speaks of, while this gateway can't renew: served, not declined
 }
 
 // Check names what is wrong with it.
@@ -294,6 +295,15 @@
 	return nil
 }
 
+// Self is this gateway's ID, and Well tells that a version which it tries is well with it.
+func (f *Fleet) Self() agreement.ID { return f.me.ID }
+
+// Well tells that.
+func (f *Fleet) Well(version uint64) {
+	f.stir()
+	f.module.Well(version)
+}
+
 // Leased is until when this gateway may act on what it holds.
 func (f *Fleet) Leased() int64 { return f.module.Leased() }
 
--- a/fleet/wire.go
+++ b/fleet/wire.go
@@ -13,6 +13,7 @@
 	To, Term, Run  uint64
 	No, Echo, Left int64
 	Stamp, Known   uint64
+	Well           uint64
 	Digest         agreement.Digest
 	Size, Offset   uint32
 }
@@ -23,7 +24,7 @@
 
 func appendMessage(dst []byte, m *agreement.Message) ([]byte, error) {
 	dst, err := binary.Append(dst, binary.BigEndian, &wired{uint8(m.Kind), uint64(m.To), m.Term, m.Run, m.No, m.Echo, m.Left,
-		m.Stamp, m.Known, m.Digest, uint32(m.Size), uint32(m.Offset)})
+		m.Stamp, m.Known, m.Well, m.Digest, uint32(m.Size), uint32(m.Offset)})
 	return append(dst, m.Data...), err
 }
 
@@ -36,7 +37,7 @@
 		return m, errMessage
 	}
 	m = agreement.Message{Kind: agreement.Kind(w.Kind), To: agreement.ID(w.To), Term: w.Term, Run: w.Run, No: w.No, Echo: w.Echo, Left: w.Left,
-		Stamp: w.Stamp, Known: w.Known, Digest: w.Digest, Size: int(w.Size), Offset: int(w.Offset)}
+		Stamp: w.Stamp, Known: w.Known, Well: w.Well, Digest: w.Digest, Size: int(w.Size), Offset: int(w.Offset)}
 	if len(text) > wiredSize {
 		m.Data = append([]byte(nil), text[wiredSize:]...)
 	}
--- a/gateway/agreed.go
+++ b/gateway/agreed.go
@@ -87,6 +87,12 @@
 			if x.v == nil {
 				continue
 			}
+			if s.Step > 0 { // of a version that is tried by steps one of both holds here, not both
+				if tries := s.Tries(a.f.Self()); tries != (x.v == s.Next) {
+					continue
+				}
+				x.to = &p.inForce
+			}
 			if known := a.known[x.v.Digest]; known != nil {
 				*x.to = known
 				continue
@@ -291,9 +297,9 @@
 		if s.Name != subjectRoutes {
 			continue
 		}
+		v.Predecessor = s.Last
 		for _, x := range []*agreement.Version{s.InForce, s.Next} {
 			if x != nil {
-				v.Predecessor = x.No
 				if g := a.known[x.Digest]; g != nil {
 					before = g.document
 				}
@@ -303,10 +309,29 @@
 	if !a.held {
 		return agreement.Wish{}, nil, errors.New("this gateway does not hold what the fleet agreed on yet")
 	}
-	v.Clashes = routes.Clashes(before, c.Document)
+	if v.Clashes = routes.Clashes(before, c.Document); len(v.Clashes) == 0 {
+		v.Share = a.f.Plan().Share
+	}
 	return agreement.Wish{Version: &v}, c.Text, nil
 }
 
+// tries tells whether a version is tried here by steps.
+func (a *agreed) tries(x *generation) bool {
+	for _, s := range a.f.Held().Subjects {
+		if s.Name == subjectRoutes && s.Tries(a.f.Self()) && s.Next.No == x.version {
+			return true
+		}
+	}
+	return false
+}
+
+// kept tells that the watch of a version is over, and that it is well.
+func (a *agreed) kept(x *generation) {
+	if x != nil && x.version != 0 {
+		a.f.Well(x.version)
+	}
+}
+
 // nothing is the text of all as the platform says.
 const nothing = "# all is as the platform says\n"
 
@@ -321,9 +346,15 @@
 	if all := a.g.generations.module.Status().Finished; len(all) > 0 {
 		why = string(all[len(all)-1].Why) + all[len(all)-1].Text
 	}
+	wish := agreement.Wish{Drop: &agreement.Dropping{Subject: subjectRoutes, No: x.version, Why: "gateway " + a.g.config.Name + ": " + why}}
 	v := agreement.Version{Subject: subjectRoutes, Predecessor: x.version, Undoes: x.version, Who: "gateway " + a.g.config.Name,
 		At: time.Now().UnixNano(), Why: why, Form: routes.Form, Clashes: routes.Clashes(x.document, before)}
-	no, err := a.f.Ask(agreement.Wish{Version: &v}, text, askPatience)
+	if !a.tries(x) {
+		wish = agreement.Wish{Version: &v}
+	} else {
+		text = nil
+	}
+	no, err := a.f.Ask(wish, text, askPatience)
 	if err != nil {
 		a.g.log.Error("a version is not undone", "version", x.version, "why", err)
 		return
--- a/gateway/generations.go
+++ b/gateway/generations.go
@@ -237,6 +237,9 @@
 		case rollout.Save:
 			gs.save()
 		case rollout.Keep:
+			if gs.g.agreed != nil {
+				gs.g.agreed.kept(gs.all[d.Generation])
+			}
 			gs.forget()
 		case rollout.Wake:
 			gs.g.deadlines.Add(int64(gs.g.clock.now())+d.After, due{kind: dueWake})
--- a/internal/operator/agreement.go
+++ b/internal/operator/agreement.go
@@ -18,7 +18,7 @@
 
 // agreement takes how this gateway agrees with the others on what holds for all.
 func (r *reader) agreement(b *hcl.Block) *fleet.Plan {
-	in := r.block(b, []string{"listen", "address", "ask", "folder", "zone", "lease", "clock_error", "turn", "without_agreement"}, "key")
+	in := r.block(b, []string{"listen", "address", "ask", "folder", "zone", "lease", "clock_error", "turn", "share", "without_agreement"}, "key")
 	p := &fleet.Plan{Terms: agreement.UsualTerms()}
 	in.address("listen", &p.Listen)
 	if !p.Listen.IsValid() && in.Attrs["listen"] == nil {
@@ -45,6 +45,7 @@
 	in.Span("lease", &p.Terms.Lease, 100*time.Millisecond)
 	in.Span("clock_error", &p.Terms.ClockError, time.Millisecond)
 	in.Span("turn", &p.Terms.Turn, time.Millisecond)
+	in.Number("share", &p.Share, 0, 1)
 	without := routes.Decline
 	in.OneOf("without_agreement", &without, routes.Decline, routes.Serve)
 	p.Serve = without == routes.Serve
