A version that took long to compile never takes the place of a later one

Found by reading: Prepare compiles beside the loop, and the result of an earlier manifest could come after a later one was taken, and be put in force. It is dropped unless the module still waits for it. The line of a version is logged once a change, not with each change of the list of gateways.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -310,6 +310,12 @@
 // Held is what it holds, and Text the text of one of its versions.
 func (f *Fleet) Held() *agreement.Manifest { return f.module.Held() }
 
+// Awaits tells whether a manifest of this stamp is what it waits to act on: a later one may have taken its place.
+func (f *Fleet) Awaits(stamp uint64) bool {
+	m := f.module.Coming()
+	return m != nil && m.Stamp == stamp
+}
+
 // Text gives a version's.
 func (f *Fleet) Text(d agreement.Digest) []byte { return f.module.Text(d) }
 
--- a/gateway/agreed.go
+++ b/gateway/agreed.go
@@ -23,8 +23,9 @@
 type agreed struct {
 	g        *Gateway
 	f        *fleet.Fleet
-	held     bool // it has held something since its start
-	careful  bool // as logged
+	held     bool      // it has held something since its start
+	logged   [2]uint64 // versions, as logged: in force and next
+	careful  bool      // as logged
 	waits    map[uint64]func(agreement.Outcome)
 	prepared *prepared
 	known    map[agreement.Digest]*generation // by their texts, those that are alive
@@ -128,6 +129,9 @@
 				a.g.log.Error("a version of the fleet can't be taken by this gateway", "why", err)
 				return
 			}
+			if !a.f.Awaits(p.stamp) { // it took longer than what came after it
+				return
+			}
 			for d, x := range made {
 				a.known[d] = x
 			}
@@ -147,7 +151,9 @@
 func (a *agreed) carryOut() {
 	a.f.Turn()
 	gs := a.g.generations
-	if p := a.prepared; p != nil {
+	if p := a.prepared; p != nil && !a.f.Awaits(p.stamp) {
+		a.prepared = nil
+	} else if p != nil {
 		want := p.inForce
 		if want == nil {
 			want = gs.all[0]
@@ -186,8 +192,9 @@
 	if p.next != nil {
 		next = p.next.version
 	}
-	if v := a.version(); v != 0 || next != 0 {
-		a.g.log.Info("version of the fleet", "in_force", v, "next", next)
+	if now := [2]uint64{a.version(), next}; now != a.logged {
+		a.logged = now
+		a.g.log.Info("version of the fleet", "in_force", now[0], "next", next)
 	}
 }
 
