What a client sent ahead is bounded by memory alone; many large commands are served

Played again on a scratch copy with a line at each end of a connection (trial): the one client sent away was n0's at 23.351 s, 08P01 "too much sent ahead", 395,994 bytes unread while its first command was asked. Excluded: time for reading answers, memory of all clients (441,635 held), half messages, an end from the client's side: no such line. Lines at fault: mostAhead in gateway/clients.go, twice the largest message, 384 KB: three large writes. What is read is taken, and to end its connection loses it. Change: one client may fill a sixteenth of limits.memory_mb (at least one message); the bound of all clients together, a quarter, now holds while a txn is open too.

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -16,7 +16,7 @@
 
 const (
 	mostMessage = 192 << 10                  // bytes of a message: a value of 64 KiB in hexadecimal and its statement
-	mostAhead   = 2 * mostMessage            // bytes that a client may have sent ahead
+	aheadPart   = 16                         // part of the memory that one client may fill with what it has sent ahead
 	mostErrors  = 8                          // statements in a row that are none, after which a client is sent away
 	memoryPart  = 4                          // part of the memory that clients' buffers may fill
 	fairShare   = 32 << 10                   // bytes that a client may hold beyond that
@@ -330,10 +330,16 @@
 		waiting, out := c.conn.InboundBuffered(), c.conn.OutboundBuffered()
 		cs.held += waiting + out - c.held
 		c.held = waiting + out
-		if waiting > mostAhead {
+		// What is read of a client's requests is taken: to end its connection loses them all. So only memory bounds them.
+		memory := cs.g.config.Limits.MemoryMB << 20
+		if waiting > max(memory/aheadPart, mostMessage) {
 			cs.refuse(ref, "08P01", "too much sent ahead")
 			return
 		}
+		if cs.held > memory/memoryPart && c.held > fairShare {
+			cs.refuse(ref, "53300", "no memory for more")
+			return
+		}
 		if t := cs.g.txns.Get(c.txn); t != nil {
 			if c.aheadAt == 0 && waiting > t.size {
 				c.aheadAt = cs.g.clock.now()
@@ -341,10 +347,6 @@
 			cs.enter(ref, c, asking)
 			return
 		}
-		if cs.held > cs.g.config.Limits.MemoryMB<<20/memoryPart && c.held > fairShare {
-			cs.refuse(ref, "53300", "no memory for more")
-			return
-		}
 		if out > 0 { // a slow reader gets no further answers until it has read these
 			cs.enter(ref, c, unread)
 			cs.again(ref, c)
