What one gateway does not send a cold member lapses, so that hundreds do not send at once

Cause: a cold member's credit saturated above nothing at each gateway that had no use for it. With 300 gateways before it each came to hold a txn, and a burst had them send it in the same moment. Lines at fault: warmEnough in decide/decide.go, credit = min(credit, rate*OverloadFor/2). Change: what is above the bound lapses by a txn and comes anew, where the list told of the start; trials of suspects stay as they were, else a gateway of little traffic would hardly try them.

--- /dev/null
+++ b/decide/coldfleet_test.go
@@ -0,0 +1,244 @@
+package decide
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+)
+
+// coldFleet is many gateways before one group on a virtual clock. Its members serve in order of arrival on some cores; one
+// of them comes cold. What all gateways together send it within the window of the rule is held to what a cold member bears.
+type coldFleet struct {
+	now     Nanos
+	work    float64 // service time of a txn on a warm core
+	until   Nanos   // the end of the play, when it is warm
+	gates   []*Gateway
+	wakes   []Nanos // of each gateway; 0 is none
+	members map[Server]*coldServer
+	events  coldEvents
+	count   int
+	rng     pcg
+	got     []Nanos // when the cold member got a txn
+	started Nanos
+}
+
+type coldServer struct {
+	free   []Nanos // when each core is free
+	cold   bool
+	silent bool
+}
+
+type coldEvent struct {
+	at    Nanos
+	order int
+	run   func()
+}
+
+type coldEvents []coldEvent
+
+func (e coldEvents) Len() int { return len(e) }
+func (e coldEvents) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e coldEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *coldEvents) Push(x any)   { *e = append(*e, x.(coldEvent)) }
+func (e *coldEvents) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+const (
+	coldCores = 4
+	coldFor   = 10000 * ms
+	coldLeast = 0.2
+)
+
+func (f *coldFleet) after(span Nanos, run func()) {
+	f.count++
+	heap.Push(&f.events, coldEvent{f.now + span, f.count, run})
+}
+
+// able is the share of its work that the cold member can do.
+func (f *coldFleet) able(at Nanos) float64 {
+	return min(1, coldLeast+(1-coldLeast)*float64(at-f.started)/float64(coldFor))
+}
+
+// bears is what the cold member may get in the window that ends at a time, by the operators' formula.
+func (f *coldFleet) bears(at Nanos) float64 {
+	n := 2 * f.able(at) * coldCores * float64(1000*ms) / f.work
+	return n + 2*math.Sqrt(n) + 2
+}
+
+func (f *coldFleet) turn(i int) {
+	g := f.gates[i]
+	g.Clock(f.now)
+	for d, ok := g.Next(); ok; d, ok = g.Next() {
+		switch d.Kind {
+		case Submit:
+			f.submit(i, d.Txn, d.Server)
+		case Wake:
+			f.after(d.After, func() { f.turn(i) })
+		}
+	}
+}
+
+func (f *coldFleet) submit(i int, id uint64, to Server) {
+	g, s := f.gates[i], f.members[to]
+	t := g.txns[id]
+	no, at := len(t.subs)-1, f.now
+	work := f.work
+	if s.cold {
+		f.got = append(f.got, f.now)
+		work /= f.able(f.now)
+	}
+	if s.silent {
+		f.after(t.expiry-f.now, func() {
+			g.Clock(f.now)
+			g.Ended(id, no, to, TimedOut, f.now-at, RoleUnknown, 0, false, nil)
+			f.turn(i)
+		})
+		return
+	}
+	core := 0
+	for k, free := range s.free {
+		if free < s.free[core] {
+			core = k
+		}
+	}
+	s.free[core] = max(f.now, s.free[core]) + Nanos(work)
+	f.after(s.free[core]-f.now, func() {
+		g.Clock(f.now)
+		role := RoleReplica
+		if to == (Server{'a'}) {
+			role = RolePrimary
+		}
+		position := f.now
+		if s.cold { // it has proven nothing yet
+			position = 0
+		}
+		g.Ended(id, no, to, Committed, f.now-at, role, position, true, nil)
+		f.turn(i)
+	})
+}
+
+// play has so many gateways meet a member that starts cold, with an event in the middle, and gives the most that the cold
+// member got against what it bears, and the share of what it bears on the mean that it got.
+func playCold(seed uint64, gateways int, work Nanos, load float64, event string) (worst, used float64) {
+	f := &coldFleet{work: float64(work), now: 10000 * ms, until: (10000+6000)*ms + coldFor, rng: newPCG(seed), members: map[Server]*coldServer{}}
+	site := strings.NewReplacer(`"whenBehind":"await"`, `"whenBehind":"none"`, `"tickMs":5`, `"tickMs":1`,
+		`"fleetSize":2`, fmt.Sprintf(`"fleetSize":%d`, gateways)).Replace(traceSite)
+	for _, m := range "abcd" {
+		f.members[Server{byte(m)}] = &coldServer{free: make([]Nanos, coldCores)}
+	}
+	tell := func(g *Gateway, start Nanos) {
+		for _, m := range "abcd" {
+			at := Nanos(0)
+			if m == 'c' {
+				at = start
+			}
+			g.Listed(Server{byte(m)}, 0, m == 'a', Ready, 0, 1, 0, at)
+		}
+		g.ListEnds(FullList)
+	}
+	for i := range gateways {
+		g, err := New(seed<<20+uint64(i), []byte(site))
+		if err != nil {
+			panic(err)
+		}
+		g.Clock(f.now)
+		for _, m := range "abd" {
+			g.Listed(Server{byte(m)}, 0, m == 'a', Ready, 0, 1, 0, 0)
+		}
+		g.ListEnds(FullList)
+		f.gates = append(f.gates, g)
+	}
+	rate := load * 3 * coldCores / f.work
+	burst := 1.0
+	class := 2
+	if event == "proof" {
+		class = 0
+	}
+	id := uint64(0)
+	var arrive func()
+	arrive = func() {
+		id++
+		i := int(f.rng.unit() * float64(gateways))
+		f.gates[i].Clock(f.now)
+		age := Nanos(50 * ms)
+		if since := f.started + 1000*ms; f.started > 0 && f.now > since+age {
+			age = f.now - since // all need what the cold member has reached, and none knows that it has
+		}
+		if err := f.gates[i].Arrived(id, class, 0, id, 1000*ms, 0, 0, age); err != nil {
+			panic(err)
+		}
+		f.turn(i)
+		f.after(Nanos(-math.Log(1-f.rng.unit())/(rate*burst)), arrive)
+	}
+	f.after(0, arrive)
+	f.after(6000*ms, func() {
+		f.started = f.now
+		f.members[Server{'c'}].cold = true
+		for i, g := range f.gates {
+			f.after(Nanos(f.rng.unit()*float64(300*ms)), func() {
+				g.Clock(f.now)
+				tell(g, f.started)
+				f.turn(i)
+			})
+		}
+	})
+	f.after(9000*ms, func() {
+		switch event {
+		case "burst":
+			burst = 1.5
+		case "silent":
+			f.members[Server{'b'}].silent, f.members[Server{'d'}].silent = true, true
+		case "proof": // all hear at once that it has caught up
+			for i, g := range f.gates {
+				g.Clock(f.now)
+				g.HeardOf(News{Server{'c'}, f.now, false})
+				f.turn(i)
+			}
+		}
+	})
+	for len(f.events) > 0 && f.now < f.until {
+		e := heap.Pop(&f.events).(coldEvent)
+		f.now = e.at
+		e.run()
+	}
+	from := 0
+	for i, at := range f.got {
+		for f.got[from] <= at-1000*ms {
+			from++
+		}
+		worst = max(worst, float64(i-from+1)/f.bears(at))
+	}
+	all := 0.0
+	for at := f.started; at < f.now; at += ms {
+		all += 2 * f.able(at) * coldCores / f.work * float64(ms)
+	}
+	return worst, float64(len(f.got)) / all
+}
+
+// All gateways together send a cold member no more than it bears, however many they are, when there is a burst, when others
+// fall silent, and when all hear at once that it may get what none of them could send it before.
+func TestColdMemberBeforeManyGateways(t *testing.T) {
+	for _, work := range []Nanos{20 * ms, 100 * ms} { // short and long against the SLA time
+		for _, gateways := range []int{2, 5, 20, 30, 300} {
+			for _, event := range []string{"none", "burst", "silent", "proof"} {
+				worst, used := 0.0, 0.0
+				for seed := range uint64(2) {
+					w, u := playCold(seed+1, gateways, work, 0.75, event)
+					worst, used = max(worst, w), used+u/2
+				}
+				t.Logf("%3d ms, %3d gateways, %-6s: most %.2f of what it bears, %.2f of N used", work/ms, gateways, event, worst, used)
+				if worst > 1 {
+					t.Errorf("%d ms, %d gateways, %s: the cold member got %.2f of what it bears", work/ms, gateways, event, worst)
+				}
+			}
+		}
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -293,30 +293,6 @@
 	}
 }
 
-// heardReport takes a report's position, which holds though it is old, and its role where no answer is newer.
-func (g *Gateway) heardReport(m *member, report []float64) {
-	fields := g.site.LoadReport.Fields
-	for i, field := range fields[:min(len(fields), len(report))] {
-		switch field {
-		case "x0":
-			if report[i] > 0 {
-				at := g.site.Family.Zero + Millis(report[i]*1000)
-				m.reached(at)
-				m.lag, m.lagAt, m.heardAt = max(min(g.behind(m), g.now-at), g.now-at-reportOld), g.now, g.now
-			}
-		case "x1":
-			newer := g.now-m.roleAt > reportAge || m.role == RoleUnknown
-			if newer && report[i] == 1 && m.role != RolePrimary {
-				g.heardNote(m, RolePrimary, 0)
-				m.roleAt = 0
-			} else if newer && report[i] != 1 {
-				m.role = RoleReplica
-				g.notePrimary(m.group)
-			}
-		}
-	}
-}
-
 // proven takes what a committed txn shows: a write its commit, a checked read its token or bound.
 func (g *Gateway) proven(t *txn, s *submission, m *member, position Nanos) {
 	switch g.site.Family.Consistency[t.class] {
@@ -1057,8 +1033,17 @@
 		// what the rule's multiple leaves, however little the mean demand is.
 		rate = max(rate, m.carried.perSpan(g.now, max(g.startedAt, m.startedAt), fadeClass)*(1+r.FallMultiple)/2)
 	}
-	m.credit = min(m.credit+rate*float64(g.now-m.creditAt), rate*float64(r.OverloadFor)/2)
-	m.creditAt = g.now
+	most := rate * float64(r.OverloadFor) / 2
+	m.credit, m.creditAt = m.credit+rate*float64(g.now-m.creditAt), g.now
+	if over := m.credit - most; over > 0 {
+		m.credit = most
+		if m.startedAt == m.listedAt {
+			// All were told of it. What one does not use lapses, and comes anew: else each of hundreds comes to
+			// hold one, and they send them in the same moment.
+			work := g.expected(0)
+			m.credit += math.Mod(over, work) - work
+		}
+	}
 	return m.credit >= 0
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -681,6 +681,30 @@
 	}
 }
 
+// heardReport takes a report's position, which holds though it is old, and its role where no answer is newer.
+func (g *Gateway) heardReport(m *member, report []float64) {
+	fields := g.site.LoadReport.Fields
+	for i, field := range fields[:min(len(fields), len(report))] {
+		switch field {
+		case "x0":
+			if report[i] > 0 {
+				at := g.site.Family.Zero + Millis(report[i]*1000)
+				m.reached(at)
+				m.lag, m.lagAt, m.heardAt = max(min(g.behind(m), g.now-at), g.now-at-reportOld), g.now, g.now
+			}
+		case "x1":
+			newer := g.now-m.roleAt > reportAge || m.role == RoleUnknown
+			if newer && report[i] == 1 && m.role != RolePrimary {
+				g.heardNote(m, RolePrimary, 0)
+				m.roleAt = 0
+			} else if newer && report[i] != 1 {
+				m.role = RoleReplica
+				g.notePrimary(m.group)
+			}
+		}
+	}
+}
+
 // cold tells whether a member started so lately that it may not be warm.
 func (g *Gateway) cold(m *member) bool {
 	return m.startedAt > 0 && g.now-m.startedAt < g.site.Rules.Cold
