--- a/decide/decide.go
+++ b/decide/decide.go
@@ -24,6 +24,7 @@
 	askSpan      = 200 * ms  // a replica is asked for its position this often at most: a session's pause
 	askPart      = 8         // or once in this part of its lag, which it cannot make up sooner
 	retryFirst   = 250 * ms  // failed list calls and trials of suspects come again after this, doubled each time
+	askMost      = 1250 * ms // list calls up to this, half as long again by chance: docs/design.md has the sum
 	pulse        = 5 * ms    // how often open txns are looked at: often against any SLA time
 	idlePulse    = 20 * ms   // the same while all of them are in flight: short against any answer
 	rankSpan     = 100 * ms  // rows are ranked anew after this: they change with means of seconds
@@ -266,9 +267,10 @@
 	if g.follows {
 		g.log("list lost")
 	}
-	// Calls that failed are made again well within the time after which the rules deem an instance told.
+	// Calls that failed are made again well within the time after which the rules deem an instance told: a call that
+	// is given up, this pause and the call that brings the news together take under six seconds.
 	g.follows, g.askAt = false, g.now+Nanos((0.5+g.rng.unit())*float64(g.askSpan))
-	g.askSpan = min(g.askSpan*2, g.site.Rules.AskWithin/4)
+	g.askSpan = min(g.askSpan*2, g.site.Rules.AskWithin/4, askMost)
 }
 
 // bars: a member may get nothing new. Where the list is no proof of what runs, only a seen drain bars.
@@ -618,12 +620,7 @@
 		t.out > 0 && !g.site.Limits.MayDuplicate {
 		return false
 	}
-	ran := t.ranAt
-	for i := range t.subs {
-		if s := &t.subs[i]; !s.over && (ran == 0 || s.at < ran) {
-			ran = s.at
-		}
-	}
+	ran := t.mayHaveRun()
 	switch c.Effect {
 	case "repeatable":
 		return true
@@ -735,8 +732,12 @@
 		m.trial = min(m.trial*2, trialLast)
 		m.trialAt = g.now + m.trial
 	}
+	d := Decision{Kind: Submit, Txn: t.id, Server: m.id, Until: t.expiry}
+	if c := &g.site.Classes[t.class]; c.Effect == "by_key" && t.mayHaveRun() > 0 {
+		d.Before = t.mayHaveRun() + c.Window // a connection may take long to come up
+	}
 	g.opened(t, m)
-	return Decision{Kind: Submit, Txn: t.id, Server: m.id, Until: t.expiry}
+	return d
 }
 
 // primaryOf is the member that an answer called primary last; before any has, the one that the list names.
--- a/decide/interface.go
+++ b/decide/interface.go
@@ -82,7 +82,7 @@
 type Kind int
 
 const (
-	Submit   Kind = iota // Txn to Server, given up at Until
+	Submit   Kind = iota // Txn to Server, sent Before a time if at all, given up at Until
 	Decline              // Txn, final; a retry does no harm; come back After
 	RollBack             // Txn, final; nothing is promised
 	Cancel               // submission No of Txn
@@ -110,6 +110,7 @@
 	No     uint16
 	Server Server
 	Until  Nanos
+	Before Nanos // a submission begun later must not be sent any more; 0 is none
 	After  Nanos
 	Text   string
 	News   []News
--- a/decide/state.go
+++ b/decide/state.go
@@ -317,6 +317,17 @@
 	return slices.ContainsFunc(t.subs, func(s submission) bool { return s.to == m && s.at >= since })
 }
 
+// mayHaveRun is when the first submission was sent that ran or may run yet; 0 is none.
+func (t *txn) mayHaveRun() Nanos {
+	ran := t.ranAt
+	for i := range t.subs {
+		if s := &t.subs[i]; !s.over && (ran == 0 || s.at < ran) {
+			ran = s.at
+		}
+	}
+	return ran
+}
+
 // memberOf is a server's entry in a group, made or moved there where needed, and whether it was known before.
 func (g *Gateway) memberOf(server Server, grp int) (*member, bool) {
 	m, known := g.members[server]
@@ -531,6 +542,14 @@
 	}
 }
 
+// EndsBy tells that a txn must have its answer by a time, as its host ends.
+func (g *Gateway) EndsBy(id uint64, at Nanos) {
+	if t := g.txns[id]; t != nil && !t.done {
+		t.expiry = min(t.expiry, at)
+		g.reviewAt = min(g.reviewAt, t.expiry-2*g.site.Tick)
+	}
+}
+
 // Next gives one decision of this round, or says that there is none left.
 func (g *Gateway) Next() (Decision, bool) {
 	for ; g.stage < len(steps); g.stage, g.cursor = g.stage+1, 0 {
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -2,6 +2,10 @@
 
 import (
 	"container/list"
+	"crypto/rand"
+	"crypto/subtle"
+	"encoding/binary"
+	"slices"
 	"strconv"
 
 	"github.com/panjf2000/gnet/v2"
@@ -52,10 +56,11 @@
 type clients struct {
 	g          *Gateway
 	open       slots.Table[client]
-	silent     [2]list.List // those that say nothing, longest first: who never asked, and the others
-	held       int          // bytes in their buffers
-	turnedAway int          // past the budget that are being told so
-	full       bool         // some are turned away
+	silent     [2]list.List         // those that say nothing, longest first: who never asked, and the others
+	held       int                  // bytes in their buffers
+	turnedAway int                  // past the budget that are being told so
+	full       bool                 // some are turned away
+	keys       map[uint32]slots.Ref // those that are admitted, by the process number of their cancel key
 }
 
 // client is a connection from a client. It belongs to the loop and is given back in clientClosed.
@@ -68,20 +73,64 @@
 	openedAt decide.Nanos
 	user     string
 	database string
-	tenant   int32        // whose connections it counts against, its number in the generation in force plus one
-	admitted bool         // past the startup message
-	asked    bool         // has sent a query that was one
-	counted  bool         // has a descriptor of the budget; who has none is turned away
-	skipping bool         // up to Sync, after an error in the extended protocol
-	errors   int          // statements in a row that were none
-	held     int          // bytes in its buffers when last looked at
-	dropped  int          // bytes read from it since it was sent away
-	polled   bool         // it is looked at again in a moment
-	txn      slots.Ref    // the open one; its query is the first in the connection's buffer
-	partAt   int64        // since when it waits for a first part of a bound of the fleet, 0 if it does not
-	partSeen int          // answers of keepers, when it was told to
-	connects uint64       // the bound of the fleet that it counts against, 0 for none
-	aheadAt  decide.Nanos // when the first of what stands behind an open query came
+	tenant   int32     // whose connections it counts against, its number in the generation in force plus one
+	admitted bool      // past the startup message
+	asked    bool      // has sent a query that was one
+	counted  bool      // has a descriptor of the budget; who has none is turned away
+	skipping bool      // up to Sync, after an error in the extended protocol
+	errors   int       // statements in a row that were none
+	held     int       // bytes in its buffers when last looked at
+	dropped  int       // bytes read from it since it was sent away
+	polled   bool      // it is looked at again in a moment
+	txn      slots.Ref // the open one; its query is the first in the connection's buffer
+	partAt   int64     // since when it waits for a first part of a bound of the fleet, 0 if it does not
+	partSeen int       // answers of keepers, when it was told to
+	connects uint64    // the bound of the fleet that it counts against, 0 for none
+	key      pgwire.CancelKey
+	consumed int64     // bytes of it that are dealt with
+	came     []arrival // when the bytes behind those came, first come first
+}
+
+// arrival is when a client's bytes up to some count had come.
+type arrival struct {
+	upTo int64
+	at   decide.Nanos
+}
+
+// mostArrivals are kept for a client; past them, bytes count as come with the last of these.
+const mostArrivals = 32
+
+// notes notes what has come by now.
+func (c *client) notes(waiting int, now decide.Nanos) {
+	total := c.consumed + int64(waiting)
+	switch n := len(c.came); {
+	case n > 0 && c.came[n-1].upTo >= total:
+	case n == mostArrivals:
+		c.came[n-1].upTo = total
+	default:
+		c.came = append(c.came, arrival{total, now})
+	}
+}
+
+// takes drops the first bytes of the buffer, which are dealt with.
+func (c *client) takes(size int) {
+	_, _ = c.conn.Discard(size)
+	c.consumed += int64(size)
+	gone := 0
+	for gone < len(c.came) && c.came[gone].upTo <= c.consumed {
+		gone++
+	}
+	c.came = slices.Delete(c.came, 0, gone)
+}
+
+// waited is for how long the first bytes of the buffer have been here: behind another query, or behind its answer.
+func (c *client) waited(size int, now decide.Nanos) decide.Nanos {
+	for _, a := range c.came {
+		if a.upTo >= c.consumed+int64(size) {
+			return now - a.at
+		}
+	}
+	return 0
 }
 
 func (cs *clients) clientOpened(c gnet.Conn) ([]byte, gnet.Action) {
@@ -191,6 +240,9 @@
 		cs.noteFull(false)
 	}
 	cs.withdraw(c)
+	if cs.keys[c.key.Process] == ref {
+		delete(cs.keys, c.key.Process)
+	}
 	cs.open.Free(ref)
 	cs.g.emptied()
 }
@@ -204,6 +256,28 @@
 	c.txn = slots.Ref{}
 }
 
+// giveKey gives a client a key that no other connection has and nobody can guess.
+func (cs *clients) giveKey(ref slots.Ref, c *client) {
+	var random [8]byte
+	for taken := true; taken; _, taken = cs.keys[c.key.Process] {
+		_, _ = rand.Read(random[:]) // it never fails
+		c.key = pgwire.CancelKey{Process: binary.BigEndian.Uint32(random[:]), Secret: binary.BigEndian.Uint32(random[4:])}
+	}
+	cs.keys[c.key.Process] = ref
+}
+
+// cancel ends the open query of the client that has a key, which answers at once; no further submission begins. A key that
+// fits none is passed over without a word, and one that comes behind the answer cancels nothing.
+func (cs *clients) cancel(key pgwire.CancelKey) {
+	c := cs.open.Get(cs.keys[key.Process])
+	if c == nil || subtle.ConstantTimeEq(int32(c.key.Secret), int32(key.Secret)) == 0 {
+		return
+	}
+	if t := cs.g.txns.Get(c.txn); t != nil && !t.answered && t.waiting == nil {
+		cs.g.inputs = append(cs.g.inputs, input{kind: inCancelled, ref: c.txn})
+	}
+}
+
 // noteFull logs when clients are turned away for lack of descriptors, and when there is room for more again.
 func (cs *clients) noteFull(full bool) {
 	if full != cs.full {
@@ -328,6 +402,7 @@
 			return
 		}
 		waiting, out := c.conn.InboundBuffered(), c.conn.OutboundBuffered()
+		c.notes(waiting, cs.g.clock.now())
 		cs.held += waiting + out - c.held
 		c.held = waiting + out
 		// What is read of a client's requests is taken: to end its connection loses them all. So only memory bounds them.
@@ -340,10 +415,7 @@
 			cs.refuse(ref, "53300", "no memory for more")
 			return
 		}
-		if t := cs.g.txns.Get(c.txn); t != nil {
-			if c.aheadAt == 0 && waiting > t.size {
-				c.aheadAt = cs.g.clock.now()
-			}
+		if cs.g.txns.Get(c.txn) != nil {
 			cs.enter(ref, c, asking)
 			return
 		}
@@ -358,7 +430,6 @@
 			return
 		}
 		if waiting == 0 {
-			c.aheadAt = 0
 			cs.enter(ref, c, c.silence())
 			return
 		}
@@ -386,7 +457,7 @@
 			return
 		}
 		if c = cs.open.Get(ref); c != nil && c.stage != leaving {
-			_, _ = c.conn.Discard(size)
+			c.takes(size)
 		}
 	}
 }
@@ -417,6 +488,9 @@
 	case kind == pgwire.Encryption:
 		cs.writeClient(c, append(cs.g.scratch[:0], 'N'))
 	case kind == pgwire.CancelQuery:
+		if key, ok := pgwire.ReadCancelKey(buf[:size]); ok {
+			cs.cancel(key)
+		}
 		_ = cs.g.loop.Close(c.conn)
 		return 0
 	case kind == pgwire.Startup && !c.counted:
@@ -435,7 +509,8 @@
 			return 0
 		}
 		c.admitted = true
-		cs.writeClient(c, pgwire.AppendWelcome(cs.g.scratch[:0]))
+		cs.giveKey(ref, c)
+		cs.writeClient(c, pgwire.AppendWelcome(cs.g.scratch[:0], c.key))
 	}
 	return size
 }
--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -17,10 +17,14 @@
 const (
 	mostList    = 1 << 20 // bytes of an answer
 	mostEntries = 4096
-	watchMs     = 10000                     // how long a watch waits
-	watchMargin = 1500 * decide.Millisecond // beyond that: under the 2 s after which its news count as told
+	// A change counts as told six seconds after discovery had it and could be reached. So a watch that fell silent, the
+	// pause after it and the call that brings what it missed take less: 2.5 + 1.0 + 0.4 + 1.9 s; and so do a call
+	// that is given up, the longest pause and the next call: 1.9 + 1.9 + 1.9 s. docs/design.md has the sum.
+	watchMs     = 2500                      // how long a watch waits
+	watchMargin = 1000 * decide.Millisecond // beyond that: calls are handled in turn
+	callSpan    = 1900 * decide.Millisecond // of a call that need not wait, with its dial
+	lastLook    = 20 * decide.Millisecond   // for what has come, unread, when a call's time is up
 	unnumbered  = math.MinInt64             // the version of a list that this discovery did not give
-	callSpan    = 3000 * decide.Millisecond // of a call that need not wait: calls are handled in turn
 )
 
 // discovery is the list and the calls for it. It belongs to the loop.
@@ -47,6 +51,7 @@
 	dialled bool
 	asked   bool // an answer is awaited
 	waits   int  // milliseconds that the call may wait
+	looked  bool // its time is up, and what has come is still read
 	due     *deadlines.Entry[due]
 	failing string // why the last one failed
 }
@@ -91,13 +96,14 @@
 		span = decide.Nanos(c.waits)*decide.Millisecond + watchMargin
 	}
 	c.due = ds.g.deadlines.Add(int64(ds.g.clock.now()+span), due{kind: dueCall, call: c})
+	c.looked = false
 	if c.conn != nil {
 		ds.writeCall(c)
 		return
 	}
 	c.dialled = true
 	c.no++
-	if !ds.g.dial(ds.g.config.Discovery.String(), watchMargin, &owner{kind: ownerDiscovery, call: c, no: c.no}) {
+	if !ds.g.dial(ds.g.config.Discovery.String(), callSpan, &owner{kind: ownerDiscovery, call: c, no: c.no}) {
 		ds.callFailed(c, "no descriptor")
 	}
 }
@@ -131,11 +137,21 @@
 	c.no++
 }
 
-func (ds *discovery) discoveryClosed(o *owner) {
+// discoveryClosed comes when a connection ended, or could not be had. An answer without a length is whole where it
+// ended in order; a reset is no end.
+func (ds *discovery) discoveryClosed(o *owner, conn gnet.Conn, inOrder bool) {
 	c := o.call
 	if c.no != o.no {
 		return
 	}
+	if c.asked && conn != nil && inOrder {
+		if buf, err := conn.Peek(-1); err == nil {
+			if a, _, err := httpwire.Read(buf, mostList); err == nil && a.ToEnd {
+				ds.answered(conn, c, a)
+				return
+			}
+		}
+	}
 	if c.asked || c.dialled {
 		ds.callFailed(c, "connection lost")
 		return
@@ -143,7 +159,16 @@
 	ds.hangUpCall(c)
 }
 
-func (ds *discovery) callTimedOut(c *call) { ds.callFailed(c, "no answer") }
+// callTimedOut gives a call up, unless something has come that the loop has not read yet: what discovery wrote counts
+// as told, so that an answer which comes with the timer must not be thrown away. One that drips goes all the same.
+func (ds *discovery) callTimedOut(c *call) {
+	if c.conn != nil && !c.looked && hasUnread(c.conn.Fd()) {
+		c.looked = true
+		c.due = ds.g.deadlines.Add(int64(ds.g.clock.now()+lastLook), due{kind: dueCall, call: c})
+		return
+	}
+	ds.callFailed(c, "no answer")
+}
 
 // callFailed tells the module, which decides when to ask again.
 func (ds *discovery) callFailed(c *call, why string) {
@@ -179,10 +204,14 @@
 	switch {
 	case err != nil:
 		ds.callFailed(c, err.Error())
-		return
-	case !ok:
-		return
-	case a.Status != 200:
+	case ok:
+		ds.answered(conn, c, a)
+	}
+}
+
+// answered takes a whole answer.
+func (ds *discovery) answered(conn gnet.Conn, c *call, a httpwire.Answer) {
+	if a.Status != 200 {
 		ds.callFailed(c, fmt.Sprintf("status %d", a.Status))
 		return
 	}
@@ -266,7 +295,7 @@
 	}
 	zone := slices.Index(ds.g.names.Zones, h.entry.Site)
 	ds.g.module.Listed(h.server, h.entry.Block, false, decide.Gone, zone, h.entry.Share, -1, 0)
-	ds.g.members.closeIdle(h.server)
+	ds.g.members.bar(h.server)
 }
 
 func (ds *discovery) tellHost(e httpwire.Host) {
@@ -302,7 +331,7 @@
 	delete(ds.leave, server)
 	if status != decide.Ready {
 		ds.leave[server] = true
-		ds.g.members.closeIdle(server)
+		ds.g.members.bar(server)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,8 +13,10 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net/netip"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -75,6 +77,7 @@
 	closing bool         // and sends clients away that have their answers
 	empty   decide.Nanos // since when there is none
 	last    decide.Nanos
+	kill    decide.Nanos // by when all have their answers
 }
 
 // counts are of this gateway's whole life, for the line at its end.
@@ -100,6 +103,7 @@
 	g.seed = seed
 	g.log = slog.New(levelled{cmp.Or(c.Log, slog.Default()).Handler(), g.least}).With("gateway", c.Name)
 	g.members = members{g: g, pools: map[decide.Server]*pool{}}
+	g.clients.keys = map[uint32]slots.Ref{}
 	g.clients.g, g.discovery.g, g.discovery.leave = g, g, map[decide.Server]bool{}
 	g.budget.free = c.Limits.Sockets - reserve
 	g.budget.all = g.budget.free
@@ -246,8 +250,11 @@
 // moment may take as long as its txn type allows.
 const (
 	lateComers = 700 * decide.Millisecond
-	crossing   = 100 * decide.Millisecond // for who was sent away while it asked, to connect and ask again
-	lastMargin = 500 * decide.Millisecond
+	// The platform kills no sooner than the longest time of a txn type after that, or this where it is longer.
+	longestKill = 3000 * decide.Millisecond
+	killMargin  = 150 * decide.Millisecond // by which all have their answers before it may
+	crossing    = 100 * decide.Millisecond // for who was sent away while it asked, to connect and ask again
+	lastMargin  = 500 * decide.Millisecond
 )
 
 // leave begins an orderly end: what comes is served as before for a moment.
@@ -261,6 +268,10 @@
 		longest = max(longest, c.HardLimit)
 	}
 	g.last = g.clock.now() + lateComers + decide.Millis(longest) + lastMargin
+	g.kill = g.clock.now() + lateComers + min(decide.Millis(longest), longestKill) - killMargin
+	for _, id := range slices.Sorted(maps.Keys(g.byID)) {
+		g.module.EndsBy(id, g.kill)
+	}
 	g.deadlines.Add(int64(g.clock.now()+lateComers), due{kind: dueClosing})
 	g.deadlines.Add(int64(g.last), due{kind: dueLast})
 	g.log.Info("leaving", "clients", g.clients.open.Len(), "txns", g.txns.Len())
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -168,6 +168,9 @@
 		switch {
 		case isSpoilt: // and the connection stays open
 			_, _ = io.WriteString(c, spoilt)
+		case step == "slow":
+			time.Sleep(200 * time.Millisecond)
+			_, _ = io.WriteString(c, row+message('C', "INSERT 0 1\x00")+said)
 		case step == "report":
 			_, _ = io.WriteString(c, row+message('C', "SELECT 1\x00")+message('S', "stats\x00x0=,x1=0;\x00")+said)
 		case step == "long":
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"magpieglade/decide"
 	"magpieglade/internal/slots"
@@ -116,6 +118,7 @@
 	inProbed
 	inHeard
 	inWithdrawn
+	inCancelled
 	inRepeated
 	inRefused
 	inList
@@ -183,6 +186,8 @@
 		g.module.Heard(in.server)
 	case inWithdrawn:
 		g.tellWithdrawn(in.ref)
+	case inCancelled:
+		g.tellCancelled(in.ref)
 	case inRefused:
 		if t := g.txns.Get(in.ref); t != nil {
 			g.decline(t.id, in.elapsed)
@@ -203,7 +208,7 @@
 func (g *Gateway) carryOut(d decide.Decision) {
 	switch d.Kind {
 	case decide.Submit:
-		g.submit(d.Txn, d.Server, d.Until)
+		g.submit(d)
 	case decide.Decline:
 		g.decline(d.Txn, d.After)
 	case decide.RollBack:
@@ -323,7 +328,11 @@
 // two descriptors until then, its own and the loop's, and one afterwards, until OnClose; without them it does
 // nothing. Whoever gives it up before it has ended finds it closed by whom it would have been opened for.
 func (g *Gateway) dial(address string, patience decide.Nanos, o *owner) bool {
-	if !g.budget.take(2, 0) {
+	others := 0
+	if o.kind == ownerMember { // members never take what the calls to discovery need
+		others = 2 * len(g.discovery.calls)
+	}
+	if !g.budget.take(2, others) {
 		return false
 	}
 	o.counted = true
@@ -349,7 +358,7 @@
 		}
 		g.members.memberClosed(o.ref, false)
 	} else {
-		g.discovery.discoveryClosed(o)
+		g.discovery.discoveryClosed(o, nil, false)
 	}
 }
 
@@ -406,7 +415,7 @@
 }
 
 // OnClose comes when a connection has ended, whoever ended it, and may come within a write to it.
-func (g *Gateway) OnClose(c gnet.Conn, _ error) gnet.Action {
+func (g *Gateway) OnClose(c gnet.Conn, why error) gnet.Action {
 	o, ok := c.Context().(*owner)
 	if !ok {
 		return gnet.None
@@ -420,7 +429,7 @@
 	case ownerMember:
 		g.members.memberClosed(o.ref, c.OutboundBuffered() == 0)
 	case ownerDiscovery:
-		g.discovery.discoveryClosed(o)
+		g.discovery.discoveryClosed(o, c, errors.Is(why, io.EOF))
 	}
 	g.turn()
 	if g.end() != nil {
@@ -429,6 +438,13 @@
 	return gnet.None
 }
 
+// hasUnread tells whether something waits on a socket that the loop has not read, be it its end.
+func hasUnread(fd int) bool {
+	var one [1]byte
+	_, _, err := unix.Recvfrom(fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err != unix.EAGAIN
+}
+
 // gnetLog passes what gnet logs to slog; it is chatty below warnings.
 type gnetLog struct{ to *slog.Logger }
 
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"github.com/panjf2000/gnet/v2"
-	"golang.org/x/sys/unix"
 
 	"magpieglade/decide"
 	"magpieglade/internal/deadlines"
@@ -44,6 +43,7 @@
 	fence     uint64 // a probe that asks for the position of a group's primary: as which question
 	group     int
 	at, until decide.Nanos
+	before    decide.Nanos // it may be sent before that alone; 0 is at any time
 }
 
 // memberConn is a connection to a member. It is given back in release.
@@ -59,6 +59,7 @@
 	held      int          // bytes in the buffer, of an answer that is not whole
 	sent      bool         // the query was written, though some of it may wait in the outbound buffer
 	abandoned bool         // given up while it was dialled: closed as soon as it comes up
+	barred    bool         // its member was told to drain or to be gone since it was begun: nothing more is sent on it
 	since     decide.Nanos
 	connect   *deadlines.Entry[due]
 	patience  *deadlines.Entry[due] // of a job, or of an idle connection
@@ -138,9 +139,7 @@
 			continue
 		}
 		p.idle = slices.Delete(p.idle, i, i+1)
-		var one [1]byte
-		_, _, err := unix.Recvfrom(m.conn.Fd(), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		if err == unix.EAGAIN && m.conn.InboundBuffered() == 0 {
+		if !hasUnread(m.conn.Fd()) && m.conn.InboundBuffered() == 0 {
 			return ref, true
 		}
 		ms.release(ref)
@@ -173,9 +172,16 @@
 	m.patience = ms.g.deadlines.Add(int64(j.until), due{kind: dueSubmission, ref: ref})
 }
 
-// begin writes the query of a connection's job.
+// begin writes the query of a connection's job, unless the time that it took to come up has brought what forbids it: its
+// member drains by now, or its group may have forgotten the txn's first submission.
 func (ms *members) begin(ref slots.Ref) {
 	m := ms.conns.Get(ref)
+	late := m.job.before > 0 && ms.g.clock.now() >= m.job.before
+	if m.barred || late {
+		ms.finish(ref, decide.Moot, false)
+		ms.toIdle(ref)
+		return
+	}
 	m.phase, m.heardAt, m.needs = busy, 0, 0
 	m.answer = answer{parts: m.answer.parts[:0]}
 	var parts [][]byte
@@ -278,9 +284,15 @@
 		r = decide.Moot // it was never written: the member is not silent, and nothing ran
 	}
 	ms.finish(ref, r, false)
-	if m.phase == busy {
-		ms.release(ref)
+	if m.phase != busy {
+		return
 	}
+	// At once, and no turn before it is closed: what is sent elsewhere instead would be a second copy beside an open one.
+	conn, turning := m.conn, ms.g.turning
+	ms.release(ref)
+	ms.g.turning = true
+	_ = ms.g.loop.Close(conn)
+	ms.g.turning = turning
 }
 
 func (ms *members) submissionTimedOut(ref slots.Ref) {
@@ -318,6 +330,16 @@
 	}
 }
 
+// bar closes the idle connections to a member and has all others end with what they are doing.
+func (ms *members) bar(server decide.Server) {
+	ms.closeIdle(server)
+	for _, ref := range ms.conns.Refs() {
+		if m := ms.conns.Get(ref); m.server == server {
+			m.barred = true
+		}
+	}
+}
+
 // closeIdle closes the idle connections to a member.
 func (ms *members) closeIdle(server decide.Server) {
 	for p := ms.pools[server]; p != nil && len(p.idle) > 0; {
@@ -328,7 +350,7 @@
 // toIdle puts a connection that is ready for a query back into the pool.
 func (ms *members) toIdle(ref slots.Ref) {
 	m := ms.conns.Get(ref)
-	if ms.g.discovery.leave[m.server] { // nothing more goes there: it is given back with its last answer
+	if m.barred || ms.g.discovery.leave[m.server] { // nothing more goes there: it is given back with its last answer
 		ms.release(ref)
 		return
 	}
--- a/gateway/races_test.go
+++ b/gateway/races_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"bufio"
+	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"os/exec"
+	"slices"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -51,3 +57,101 @@
 	// TD(m)CZ
 	// TD(m)CZ
 }
+
+// A client that cancels its query has gone from it: it has its answer at once, nothing more is sent for it, and the connection
+// goes on. The gateway gave all the same key of zeros and passed every cancel over. A key that fits nobody cancels nothing.
+func Example_cancel() {
+	m := newMember("m", "read-write", slices.Repeat([]string{"silent"}, 2)...)
+	w := start(256, m)
+	defer w.stop()
+	c, other := w.connect(), w.connect()
+	got := make(chan string)
+	go func() { got <- ask(c, sql("any", "")) }()
+	await(m.open)
+	must(other.CancelRequest(context.Background())) // it has asked nothing
+	for _, wrong := range []uint32{0, c.SecretKey() + 1} {
+		key := binary.BigEndian.AppendUint32([]byte("\x00\x00\x00\x10\x04\xd2\x16\x2e"), c.PID())
+		key = binary.BigEndian.AppendUint32(key, wrong)
+		fmt.Printf("%q\n", w.raw(string(key), len(key)))
+	}
+	select {
+	case early := <-got:
+		fmt.Println("cancelled by another:", early)
+	default:
+	}
+	must(c.CancelRequest(context.Background()))
+	fmt.Println(await(got))
+	fmt.Println(await(m.shut) != "", m.statements()) // called off at its member too, and sent nowhere else
+	m.plan.next(false)
+	fmt.Println(ask(c, sql("any", "")))
+	// Output:
+	// "."
+	// "."
+	// 57014 cancelled by its client, it may have had its effect
+	// true 0
+	// committed by m
+}
+
+// At an end that was asked for, what is taken has its answer before a kill may come, however long its client would wait: the
+// platform waits no longer than the longest time of a txn type, and its clients send as long as a connection is open.
+func Example_answeredBeforeTheKill() {
+	m := newMember("m", "read-write", slices.Repeat([]string{"silent"}, 9)...)
+	w := start(256, m)
+	defer w.stop()
+	long := func() string { return query(strings.Replace(sql("once", ""), "d=900", "d=30000", 1)) }
+	c, r := w.speak()
+	defer c.Close()
+	_, err := io.WriteString(c, long())
+	must(err)
+	await(m.open)
+	must(w.process.Process.Signal(syscall.SIGTERM))
+	w.logged("leaving")
+	_, err = io.WriteString(c, long()) // behind the first: taken while the gateway ends
+	must(err)
+	fmt.Println(answers(r, 2), answers(r, 2))
+	err = await(w.exited)
+	fmt.Println(err)
+	w.exited <- err
+	// Output:
+	// E(40000)Z E(53300)Z
+	// <nil>
+}
+
+// A client that always has a command ahead of its answers is served for as long as it likes: each command's time runs from when
+// it came, not from when the first of all came. Commands past the first second were declined unsent.
+func Example_alwaysOneAhead() {
+	m := newMember("m", "read-write", slices.Repeat([]string{"slow"}, 100)...)
+	w := start(256, m)
+	defer w.stop()
+	c, r := w.speak()
+	defer c.Close()
+	_, err := io.WriteString(c, query(sql("once", ""))+query(sql("once", "")))
+	must(err)
+	served := 0
+	for range 9 {
+		if answers(r, 4) == "TD(m)CZ" {
+			served++
+		}
+		_, err = io.WriteString(c, query(sql("once", "")))
+		must(err)
+	}
+	fmt.Println(served)
+	// Output:
+	// 9
+}
+
+// A signal to reload that comes before the program can handle it does not end it: the configuration is read after that.
+func Example_signalBeforeItsHandler() {
+	w := start(256, newMember("m", "read-write"))
+	defer w.stop()
+	text, err := os.ReadFile("../deploy/balancer.toml")
+	must(err)
+	_, run, _ := strings.Cut(string(text), "\nrun = \"")
+	run, _, _ = strings.Cut(run, "\"")
+	// The shell sends it itself, at the last moment before the program is there.
+	run = strings.Replace(run, "exec bin/magpieglade", "kill -HUP $$; exec "+program+" --help", 1)
+	out, err := exec.Command("sh", "-c", run).CombinedOutput()
+	fmt.Println(err, strings.Contains(string(out), "Usage"))
+	// Output:
+	// <nil> true
+}
--- /dev/null
+++ b/gateway/told_test.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"magpieglade/decide"
+)
+
+// From when discovery has a change and can be reached until the gateway has it: six seconds at most, by the module's pauses and
+// the spans of calls here, whatever failed before and however: refused, silent, an answer that drips, a watch that fell silent
+// at any moment. The machine's own lateness has what is left of the six.
+func TestToldWithinSixSeconds(t *testing.T) {
+	const ms, told = decide.Millisecond, 6000 * decide.Millisecond
+	var longest decide.Nanos
+	for seed := range uint64(2000) {
+		rng := rand.New(rand.NewPCG(seed, 34))
+		upTo := func(span decide.Nanos) decide.Nanos { return decide.Nanos(rng.Int64N(int64(span))) }
+		settings := strings.Replace(heldSettings, `"askWithinMs":10000`, `"askWithinMs":`+[]string{"4000", "10000", "60000"}[seed%3], 1)
+		g, err := decide.New(seed, []byte(settings))
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := 60000 * ms
+		// asks lets time pass until the module asks.
+		asks := func() {
+			for end := now + 20000*ms; ; now += ms {
+				g.Clock(now)
+				for d, ok := g.Next(); ok; d, ok = g.Next() {
+					if d.Kind == decide.Follow {
+						return
+					}
+				}
+				if now > end {
+					t.Fatalf("seed %d: it does not ask", seed)
+				}
+			}
+		}
+		fails := func() { g.Clock(now); g.ListFailed() }
+		g.Clock(now)
+		g.ListEnds(decide.CachedList)
+		asks()
+		now += upTo(callSpan)
+		g.Clock(now)
+		g.ListEnds(decide.FullList)
+		var from decide.Nanos // when discovery has the change and can be reached
+		if seed%2 == 0 {      // a watch falls silent, the change comes right after
+			from = now + upTo(watchMs*ms)
+			now += watchMs*ms + watchMargin
+			fails()
+			asks()
+		} else { // discovery is down for a while, and is back in the middle of a call or of a pause
+			from = now + upTo(30000*ms)
+			for fails(); ; fails() {
+				if asks(); now >= from {
+					break
+				}
+				now += []decide.Nanos{0, ms, upTo(callSpan), callSpan}[rng.IntN(4)]
+			}
+		}
+		now += upTo(callSpan)
+		longest = max(longest, now-from)
+	}
+	t.Logf("longest of 2,000: %d ms", longest/ms)
+	if longest > told {
+		t.Errorf("told after %d ms", longest/ms)
+	}
+}
--- a/gateway/txns.go
+++ b/gateway/txns.go
@@ -86,14 +86,8 @@
 	if kind.Effect == "by_key" && comment.Key == nil {
 		return "the comment lacks k, which this txn type needs"
 	}
-	// The client's time runs while its query waits behind another.
-	budget := decide.Millis(comment.Budget)
-	if c.aheadAt > 0 {
-		budget = max(1, budget-(t.arrived-c.aheadAt))
-	}
-	if c.partAt > 0 {
-		budget = max(1, budget-(t.arrived-decide.Nanos(c.partAt)))
-	}
+	// The client's time runs while its query waits here: behind another, for a slow reader, for a part of a bound.
+	budget := max(1, decide.Millis(comment.Budget)-c.waited(size, t.arrived))
 	if t.route.Route >= 0 {
 		if most := t.generation.table.Routes[t.route.Route].Expiry; most > 0 {
 			budget = min(budget, decide.Nanos(most))
@@ -145,6 +139,9 @@
 		return err.Error()
 	}
 	g.generations.bind(held)
+	if g.leaving {
+		g.module.EndsBy(t.id, g.kill)
+	}
 	return ""
 }
 
@@ -206,7 +203,7 @@
 	c.txn = slots.Ref{}
 	_, _ = c.conn.Writev(parts) // one that fails ends the connection within it
 	if c = g.clients.open.Get(who); c != nil {
-		_, _ = c.conn.Discard(size)
+		c.takes(size)
 		g.inputs = append(g.inputs, input{kind: inReadable, ref: who})
 	}
 }
@@ -275,8 +272,22 @@
 	}
 }
 
+// tellCancelled answers a query that its client has cancelled; what is out to members ends as if the client had left.
+func (g *Gateway) tellCancelled(ref slots.Ref) {
+	t := g.txns.Get(ref)
+	if t == nil || t.answered {
+		return
+	}
+	t.failed, t.ending = true, endLeft
+	out := pgwire.AppendError(g.scratch[:0], "ERROR", "57014", "cancelled by its client, it may have had its effect", "")
+	g.scratch = pgwire.AppendReady(out)
+	g.answer(ref, g.scratch)
+	g.tellWithdrawn(ref)
+}
+
 // submit sends a txn to a member, on an idle connection or a new one.
-func (g *Gateway) submit(id uint64, server decide.Server, until decide.Nanos) {
+func (g *Gateway) submit(d decide.Decision) {
+	id, server := d.Txn, d.Server
 	ref := g.byID[id]
 	t := g.txns.Get(ref)
 	if t == nil {
@@ -298,7 +309,7 @@
 		g.inputs = append(g.inputs, input{kind: inEnded, ref: ref, no: no, server: server, result: decide.Moot})
 		return
 	}
-	job := job{txn: ref, no: no, at: g.clock.now(), until: until}
+	job := job{txn: ref, no: no, at: g.clock.now(), until: d.Until, before: d.Before}
 	on := g.members.connect(server, job)
 	if t = g.txns.Get(ref); t != nil {
 		t.subs = append(t.subs, on)
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -25,6 +25,7 @@
 	Body   []byte
 	Size   int  // of all of it, in the buffer
 	Last   bool // the connection ends with it
+	ToEnd  bool // it has no length: it is whole when the connection ends in order
 }
 
 // Read reads an answer of at most so many bytes; ok is false while it is not whole.
@@ -78,7 +79,11 @@
 		}
 		a.Body, a.Size = rest[:length], from+length
 	default:
-		return a, false, ErrMalformed // an end by closing cannot be told from half an answer
+		if len(rest) > most {
+			return a, false, ErrMalformed
+		}
+		a.Body, a.Size, a.Last, a.ToEnd = rest, len(buf), true, true
+		return a, false, nil
 	}
 	return a, true, nil
 }
--- a/internal/pgwire/messages.go
+++ b/internal/pgwire/messages.go
@@ -247,8 +247,19 @@
 	return end(append(dst, 0), at)
 }
 
-// AppendWelcome admits a client.
-func AppendWelcome(dst []byte) []byte {
+// CancelKey is what a CancelRequest names a connection by: the number and the secret of its BackendKeyData.
+type CancelKey struct{ Process, Secret uint32 }
+
+// ReadCancelKey is that of a whole CancelRequest.
+func ReadCancelKey(message []byte) (k CancelKey, ok bool) {
+	if len(message) != 16 {
+		return k, false
+	}
+	return CancelKey{be.Uint32(message[8:]), be.Uint32(message[12:])}, true
+}
+
+// AppendWelcome admits a client, which may cancel its queries by the key.
+func AppendWelcome(dst []byte, key CancelKey) []byte {
 	dst = append(dst, 'R', 0, 0, 0, 8, 0, 0, 0, 0)
 	for _, s := range [...][2]string{
 		{"server_version", "15.0 (magpieglade)"}, {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"},
@@ -259,7 +270,9 @@
 		dst = append(append(append(append(dst, s[0]...), 0), s[1]...), 0)
 		dst = end(dst, at)
 	}
-	return AppendReady(append(dst, 'K', 0, 0, 0, 12, 0, 0, 0, 0, 0, 0, 0, 0))
+	dst, at := begin(dst, 'K')
+	dst = be.AppendUint32(be.AppendUint32(dst, key.Process), key.Secret)
+	return AppendReady(end(dst, at))
 }
 
 // AppendReady is ReadyForQuery, outside a transaction.
