--- a/decide/decide.go
+++ b/decide/decide.go
@@ -71,6 +71,7 @@
 	errorsMost   = 2         // errors after which a txn is taken for worthless: two by chance are rare
 	scarceCount  = 3.0       // refusals of late that make connections scarce: one that is down brings fewer
 	coldPart     = 0.7       // of the multiple at which a cold member falls over: what may be planned for
+	coldLapse    = 2.0       // windows of the rule for which one may keep a txn for a cold member: 4 reach what it bears
 	usualMost    = 1000      // tries of another time that make the usual one give way, at most
 	usualSteps   = 50        // a time for a try within this part of the client's limit of the usual one is usual
 )
@@ -1034,14 +1035,16 @@
 		// what the rule's multiple leaves, however little the mean demand is.
 		rate = max(rate, m.carried.perSpan(g.now, max(g.startedAt, m.startedAt), fadeClass)*(1+r.FallMultiple)/2)
 	}
-	most := rate * float64(r.OverloadFor) / 2
+	most, told, work := rate*float64(r.OverloadFor)/2, m.startedAt == m.listedAt, g.expected(0)
+	if told {
+		most = max(most, min(work, rate*coldLapse*float64(r.OverloadFor)))
+	}
 	m.credit, m.creditAt = m.credit+rate*float64(g.now-m.creditAt), g.now
 	if over := m.credit - most; over > 0 {
 		m.credit = most
-		if m.startedAt == m.listedAt {
+		if told {
 			// All were told of it. What one does not use lapses, and comes anew: else each of hundreds comes to
 			// hold one, and they send them in the same moment.
-			work := g.expected(0)
 			m.credit += math.Mod(over, work) - work
 		}
 	}
