An answer that comes after its call for the list was given up is read, and counts

Its logs: discovery answers one call after the other, 11.5 ms each; up to 16.475 s each second line is `list followed`, from 16.487 s on, 1.9 s after the calls began, 46 gateways say `no answer` at once: answers came just as the calls were given up, and were thrown away with their connections. What is written counts as told. Change: a call that is given up leaves its connection to be read while the next one is made; its answer is the next watch's beginning where no other call is under way, else what is new in it counts. It ends on a reload. Test: TestAnswerAfterItsCallWasGivenUp, in both orders and with an older list; it fails with the mend taken out.

--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -53,7 +53,9 @@
 	waits   int  // milliseconds that the call may wait
 	looked  bool // its time is up, and what has come is still read
 	due     *deadlines.Entry[due]
-	failing string // why the last one failed
+	failing string    // why the last one failed
+	late    gnet.Conn // of the call before, given up: what still comes on it counts as told
+	lateNo  uint64
 }
 
 // roster is what discovery told.
@@ -141,17 +143,22 @@
 // ended in order; a reset is no end.
 func (ds *discovery) discoveryClosed(o *owner, conn gnet.Conn, inOrder bool) {
 	c := o.call
-	if c.no != o.no {
+	late := c.late != nil && c.lateNo == o.no
+	if c.no != o.no && !late {
 		return
 	}
-	if c.asked && conn != nil && inOrder {
+	if (c.asked || late) && conn != nil && inOrder {
 		if buf, err := conn.Peek(-1); err == nil {
 			if a, _, err := httpwire.Read(buf, mostList); err == nil && a.ToEnd {
-				ds.answered(conn, c, a)
+				ds.whole(conn, c, late, a)
 				return
 			}
 		}
 	}
+	if late {
+		ds.hangUpLate(c)
+		return
+	}
 	if c.asked || c.dialled {
 		ds.callFailed(c, "connection lost")
 		return
@@ -167,9 +174,48 @@
 		c.due = ds.g.deadlines.Add(int64(ds.g.clock.now()+lastLook), due{kind: dueCall, call: c})
 		return
 	}
+	if c.conn != nil { // its answer may be on the way: it is read while the next call is made
+		ds.hangUpLate(c)
+		c.late, c.lateNo, c.conn = c.conn, c.no, nil
+	}
 	ds.callFailed(c, "no answer")
 }
 
+// hangUpLate is the one place where the connection of a call that was given up is given back.
+func (ds *discovery) hangUpLate(c *call) {
+	if c.late != nil {
+		_ = c.late.Close()
+	}
+	c.late, c.lateNo = nil, 0
+}
+
+// answeredLate takes an answer to a call that was given up: as the answer to the next one, while that is not under way, else
+// what is new in it.
+func (ds *discovery) answeredLate(conn gnet.Conn, c *call, a httpwire.Answer) {
+	if !c.asked && !c.dialled && a.Status == 200 {
+		ds.hangUpCall(c)
+		c.conn, c.asked = conn, true
+		conn.Context().(*owner).no = c.no // a dial that was given up may still hold a number in between
+		c.late, c.lateNo = nil, 0
+		ds.answered(conn, c, a)
+		return
+	}
+	if l, err := httpwire.ReadList(a.Body, mostEntries); a.Status == 200 && err == nil && l.Seq > ds.list.seq {
+		ds.news(l)
+	}
+	ds.hangUpLate(c)
+}
+
+// news notes a list for the module.
+func (ds *discovery) news(l *httpwire.List) {
+	scope := decide.Delta
+	if l.Whole {
+		scope = decide.FullList
+	}
+	ds.list.seq, ds.list.held = l.Seq, true
+	ds.g.inputs = append(ds.g.inputs, input{kind: inList, list: &news{l, scope}})
+}
+
 // callFailed tells the module, which decides when to ask again.
 func (ds *discovery) callFailed(c *call, why string) {
 	if why != c.failing {
@@ -185,7 +231,12 @@
 
 func (ds *discovery) readDiscovery(conn gnet.Conn, o *owner) {
 	c := o.call
-	if c.no != o.no || c.conn == nil {
+	late := c.late != nil && c.lateNo == o.no
+	if !late && (c.no != o.no || c.conn == nil) {
+		return
+	}
+	if late && conn.InboundBuffered() > mostList+1<<16 {
+		ds.hangUpLate(c)
 		return
 	}
 	if conn.InboundBuffered() > mostList+1<<16 {
@@ -196,20 +247,31 @@
 	if err != nil {
 		return
 	}
-	if !c.asked {
+	if !late && !c.asked {
 		ds.callFailed(c, "an answer that nobody asked for")
 		return
 	}
 	a, ok, err := httpwire.Read(buf, mostList)
 	switch {
+	case err != nil && late:
+		ds.hangUpLate(c)
 	case err != nil:
 		ds.callFailed(c, err.Error())
 	case ok:
+		ds.whole(conn, c, late, a)
+	}
+}
+
+// whole takes a whole answer, to the call that is under way or to the one before.
+func (ds *discovery) whole(conn gnet.Conn, c *call, late bool, a httpwire.Answer) {
+	if late {
+		ds.answeredLate(conn, c, a)
+	} else {
 		ds.answered(conn, c, a)
 	}
 }
 
-// answered takes a whole answer.
+// answered takes the answer to the call that is under way.
 func (ds *discovery) answered(conn gnet.Conn, c *call, a httpwire.Answer) {
 	if a.Status != 200 {
 		ds.callFailed(c, fmt.Sprintf("status %d", a.Status))
@@ -226,12 +288,7 @@
 	if ds.g.coordinated != nil {
 		ds.g.coordinated.called(decide.Committed)
 	}
-	scope := decide.Delta
-	if l.Whole {
-		scope = decide.FullList
-	}
-	ds.list.seq, ds.list.held = l.Seq, true
-	ds.g.inputs = append(ds.g.inputs, input{kind: inList, list: &news{l, scope}})
+	ds.news(l)
 	if a.Last {
 		ds.hangUpCall(c)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -232,6 +232,7 @@
 	now.Discovery = c.Discovery
 	for i := range g.discovery.calls {
 		g.discovery.hangUpCall(&g.discovery.calls[i])
+		g.discovery.hangUpLate(&g.discovery.calls[i]) // it tells of the former list
 	}
 	g.discovery.list.seq = unnumbered
 	g.discovery.call(callWatch)
--- a/gateway/held_test.go
+++ b/gateway/held_test.go
@@ -268,6 +268,53 @@
 	<-ended
 }
 
+// An answer that comes after its call was given up counts as told all the same: it is read while the next call is made.
+// Discovery that has many callers answers when its callers give up, and so drains were told and not known.
+func TestAnswerAfterItsCallWasGivenUp(t *testing.T) {
+	t.Parallel()
+	d, m := newScript(t), newScript(t)
+	g, ended, stop := heldGateway(t, d, m.host("m", "active"))
+	first := d.next(t)
+	first.call(t)
+	giveUp := func() {
+		g.hold(func() {
+			c := &g.discovery.calls[callWatch]
+			g.deadlines.Drop(c.due)
+			c.due = g.deadlines.Add(int64(g.clock.now()), due{kind: dueCall, call: c})
+			g.onTimer()
+		})
+	}
+	inForce := func() (seq int64) {
+		g.hold(func() { seq = g.discovery.list.seq })
+		return seq
+	}
+	giveUp()
+	first.list(5, m.host("m", "active"))
+	if wait := first.call(t); wait == "" || wait == "0" || inForce() != 5 { // no other was under way: it goes on as the watch
+		t.Errorf("the next call waits %q, the list in force is %d", wait, inForce())
+	}
+	giveUp()
+	second := d.next(t)
+	second.call(t) // under way
+	first.list(6, m.host("m", "active"))
+	if _, err := first.r.ReadByte(); err == nil || inForce() != 6 { // its end
+		t.Errorf("the list in force is %d", inForce())
+	}
+	second.list(5, m.host("m", "active"))
+	second.call(t)
+	giveUp()
+	third := d.next(t)
+	third.call(t)
+	third.list(7, m.host("m", "active"))
+	third.call(t)
+	second.list(6, m.host("m", "active"))
+	if _, err := second.r.ReadByte(); err == nil || inForce() != 7 { // older than what is held
+		t.Errorf("the list in force is %d", inForce())
+	}
+	stop()
+	<-ended
+}
+
 // A list without a length is whole when its connection ends in order; a reset is no end.
 func TestListWithoutLength(t *testing.T) {
 	t.Parallel()
