Nothing of a query is written after its connection ended; a late list does not go back

A query of which part waited in the outbound buffer when its connection ended counted as never run and was sent anew, also one that may run once only. gnet writes what is left in its buffer after OnClose and before it closes the descriptor: a member that had ended its own sending and still read got the whole query, and ran it twice. The same when the gateway gave a half-written query up. Lines at fault: OnClose in gateway/loop.go, which took the buffer's state for the last word. Change: sending is shut down there first, so that what waits can't follow. Two answers of discovery in one round: the late one of a call that was given up, written last, is read first; then that of the call made since, written before it, put the older list back in force, and a drain that was told was forgotten until the next answer. Lines at fault: answered in gateway/discovery.go. Change: a version between the one that was asked for and the one in force tells nothing any more; one below what was asked for is a service that numbers anew, as before. Test: TestLateAnswerOvertakesTheNext; without the mend the list in force is 5 for 6, and nobody drains. Excluded by reading: late answers after a reload (their connection is closed), a late answer while no call is under way (older ones are closed when the next is given up).

--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -49,9 +49,10 @@
 	conn    gnet.Conn
 	no      uint64 // of the connection; late events of a former one have another
 	dialled bool
-	asked   bool // an answer is awaited
-	waits   int  // milliseconds that the call may wait
-	looked  bool // its time is up, and what has come is still read
+	asked   bool  // an answer is awaited
+	after   int64 // the version that was in force when it was made
+	waits   int   // milliseconds that the call may wait
+	looked  bool  // its time is up, and what has come is still read
 	due     *deadlines.Entry[due]
 	failing string    // why the last one failed
 	late    gnet.Conn // of the call before, given up: what still comes on it counts as told
@@ -115,7 +116,7 @@
 	if c.kind == callWatch && ds.list.seq != unnumbered {
 		target = fmt.Sprintf("/api/targets?after=%d&wait_ms=%d", ds.list.seq, c.waits)
 	}
-	c.asked = true
+	c.asked, c.after = true, ds.list.seq
 	_, _ = c.conn.Write(httpwire.AppendGet(nil, ds.g.config.Discovery.String(), target))
 }
 
@@ -288,7 +289,11 @@
 	if ds.g.coordinated != nil {
 		ds.g.coordinated.called(decide.Committed)
 	}
-	ds.news(l)
+	// The late answer of the call before may have come first, though this one was written sooner: it tells nothing any more.
+	// A version below the one that was asked for is a service that numbers anew.
+	if overtaken := c.after <= l.Seq && l.Seq < ds.list.seq; !overtaken {
+		ds.news(l)
+	}
 	if a.Last {
 		ds.hangUpCall(c)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,8 @@
 	coordinated *coordinated     // nil where each gateway chooses for itself
 	link        *fleet.Datagrams // the address for other gateways, nil where there are none
 	seed        uint64
+	longest     decide.Nanos // turn so far: nothing else is read or written meanwhile
+	latest      decide.Nanos // timer so far, behind its time
 
 	leaving bool         // told to end
 	closing bool         // and sends clients away that have their answers
@@ -181,7 +183,8 @@
 		gnet.WithTicker(true),
 		gnet.WithLogger(gnetLog{g.log}))
 	g.log.Info("ended", "taken", g.counts.taken, "declined", g.counts.declined, "rolled_back", g.counts.rolledBack,
-		"withdrawn", g.counts.withdrawn, "open", g.txns.Len(), "most_descriptors", g.budget.most)
+		"withdrawn", g.counts.withdrawn, "open", g.txns.Len(), "most_descriptors", g.budget.most,
+		"longest_turn_us", int64(g.longest/1000), "latest_timer_us", int64(g.latest/1000))
 	return errors.Join(err, g.ended)
 }
 
--- a/gateway/held_test.go
+++ b/gateway/held_test.go
@@ -15,9 +15,12 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"magpieglade/decide"
 	"magpieglade/internal/httpwire"
 	"magpieglade/internal/pgwire"
+	"magpieglade/internal/slots"
 )
 
 // The tests here run a gateway within the test, so that its loop can be held while bytes, ends and timers come to it: what harms
@@ -473,3 +476,110 @@
 		t.Error("no descriptor for discovery")
 	}
 }
+
+// Two answers that are read in one round: the late one of a call that was given up, written last, and that of the call which
+// was made since, written before it. The former is the newer one: what it told of a drain stays known.
+func TestLateAnswerOvertakesTheNext(t *testing.T) {
+	t.Parallel()
+	d, m := newScript(t), newScript(t)
+	g, ended, stop := heldGateway(t, d, m.host("m", "active"))
+	first := d.next(t)
+	first.call(t)
+	watch := &g.discovery.calls[callWatch]
+	g.hold(func() {
+		g.deadlines.Drop(watch.due)
+		watch.due = g.deadlines.Add(int64(g.clock.now()), due{kind: dueCall, call: watch})
+		g.onTimer()
+	})
+	second := d.next(t)
+	second.call(t)
+	g.hold(func() {
+		first.list(6, m.host("m", "leaving"))
+		awaitUnread(t, watch.late.Fd()) // what comes first is read first
+		second.list(5, m.host("m", "active"))
+		awaitUnread(t, watch.conn.Fd())
+	})
+	second.call(t) // both are read
+	g.hold(func() {
+		if seq, drains := g.discovery.list.seq, len(g.discovery.leave); seq != 6 || drains != 1 {
+			t.Errorf("the list in force is %d, %d members drain", seq, drains)
+		}
+	})
+	second.list(2, m.host("m", "active")) // below what was asked for: a service that numbers anew
+	second.call(t)
+	g.hold(func() {
+		if seq, drains := g.discovery.list.seq, len(g.discovery.leave); seq != 2 || drains != 0 {
+			t.Errorf("of the service that numbers anew the list in force is %d, %d members drain", seq, drains)
+		}
+	})
+	stop()
+	<-ended
+}
+
+// A query of which part waits in the outbound buffer when its connection ends was never sent: nothing more of it is written,
+// though there is room by then and a member that ended its own sending still reads. It would run a second time.
+func TestHalfWrittenQueryIsNotCompleted(t *testing.T) {
+	t.Parallel()
+	for _, ends := range []string{"the member", "the gateway"} {
+		d, a, b := newScript(t), newScript(t), newScript(t)
+		g, ended, stop := heldGateway(t, d, a.host("a", "active"))
+		call := d.next(t)
+		call.call(t)
+		c := heldClient(t, g)
+		text := fmt.Sprintf("/* id=%016x,c=once,d=9000,cluster=0 */ INSERT INTO facts (code, data) VALUES ('7f3a', '\\x%s') RETURNING data",
+			heldIDs.Add(1), strings.Repeat("9f", 64<<10))
+		_, _ = c.Write(pgwire.AppendQuery(nil, text))
+		up := a.next(t)
+		up.startup()
+		var ref slots.Ref
+		var m *memberConn
+		g.hold(func() { // the kernel takes no more than a part
+			ref = g.members.conns.Refs()[0]
+			m = g.members.conns.Get(ref)
+			_ = unix.SetsockoptInt(m.conn.Fd(), unix.SOL_SOCKET, unix.SO_SNDBUF, 32<<10)
+		})
+		up.ready()
+		for waits := 0; waits == 0; {
+			g.hold(func() { waits = m.conn.OutboundBuffered() })
+		}
+		call.list(5, a.host("a", "active"), b.host("b", "active"))
+		call.call(t)
+		whole := make(chan bool)
+		g.hold(func() {
+			left := m.conn.OutboundBuffered()
+			if _, err := io.CopyN(io.Discard, up.r, int64(len(text)+6-left)); err != nil { // all that was written
+				t.Error(err)
+			}
+			_ = unix.SetsockoptInt(m.conn.Fd(), unix.SOL_SOCKET, unix.SO_SNDBUF, 256<<10) // and there is room for the rest
+			go func() {
+				_, err := io.CopyN(io.Discard, up.r, int64(left))
+				whole <- err == nil
+			}()
+			if ends == "the member" {
+				_ = up.CloseWrite()
+				awaitUnread(t, m.conn.Fd())
+				_ = g.loop.Close(m.conn) // as the library does when it reads the end
+			} else {
+				g.members.giveUp(ref, decide.Cancelled)
+			}
+		})
+		if <-whole {
+			t.Errorf("%s ended the connection: the query came whole all the same", ends)
+		}
+		if ends == "the member" { // it may go to another
+			again := b.next(t)
+			again.startup()
+			again.ready()
+			if _, sent := again.query(); !sent {
+				t.Error("it is not sent again")
+			}
+			again.row("b", "read-write")
+		}
+		got := c.answer()
+		if want := map[string]string{"the member": "served by b", "the gateway": "40000"}[ends]; got != want {
+			t.Errorf("%s ended the connection: %s", ends, got)
+		}
+		stop()
+		<-ended
+	}
+}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -132,6 +132,7 @@
 		return
 	}
 	g.turning = true
+	began := g.clock.now()
 	for {
 		g.module.Clock(g.clock.now())
 		if g.sessions != nil { // what comes is told at its time: after a quiet spell the former one is long past
@@ -166,6 +167,7 @@
 		}
 	}
 	g.turning = false
+	g.longest = max(g.longest, g.clock.now()-began)
 	g.setTimer()
 }
 
@@ -256,6 +258,9 @@
 }
 
 func (g *Gateway) onTimer() {
+	if g.timerAt != 0 {
+		g.latest = max(g.latest, g.clock.now()-decide.Nanos(g.timerAt))
+	}
 	g.timerAt = 0
 	for {
 		d, ok := g.deadlines.Due(int64(g.clock.now()))
@@ -427,7 +432,11 @@
 	case ownerClient:
 		g.clients.clientClosed(o.ref)
 	case ownerMember:
-		g.members.memberClosed(o.ref, c.OutboundBuffered() == 0)
+		flushed := c.OutboundBuffered() == 0
+		if !flushed { // the library would write the rest before it closes: a query that counts as never run would run
+			_ = unix.Shutdown(c.Fd(), unix.SHUT_WR)
+		}
+		g.members.memberClosed(o.ref, flushed)
 	case ownerDiscovery:
 		g.discovery.discoveryClosed(o, c, errors.Is(why, io.EOF))
 	}
