--- a/gateway/held_test.go
+++ b/gateway/held_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
@@ -76,6 +77,8 @@
 	}
 }
 
+func (s *script) at() netip.AddrPort { return netip.MustParseAddrPort(s.l.Addr().String()) }
+
 func (s *script) host(name, health string) httpwire.Host {
 	return httpwire.Host{Host: name, Dial: s.l.Addr().String(), Site: "a", Class: "m", Health: health, Share: 1}
 }
@@ -188,12 +191,17 @@
 
 // heldGateway starts a gateway that knows these members and has its list from a discovery that the test plays.
 func heldGateway(t *testing.T, discovery *script, known ...httpwire.Host) (g *Gateway, ended chan error, stop func()) {
+	return heldGatewayThatLogs(t, nil, discovery, known...)
+}
+
+// heldGatewayThatLogs is one whose log the test reads.
+func heldGatewayThatLogs(t *testing.T, log *slog.Logger, discovery *script, known ...httpwire.Host) (g *Gateway, ended chan error, stop func()) {
 	l, err := net.Listen("tcp4", "127.0.0.3:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	c := Config{Name: "n", Listen: l.Addr().(*net.TCPAddr).AddrPort(), Seed: "1", Settings: json.RawMessage(heldSettings),
-		Discovery: netip.MustParseAddrPort(discovery.l.Addr().String()), Known: &httpwire.List{Seq: 1, Whole: true, Hosts: known}}
+		Log: log, Discovery: discovery.at(), Known: &httpwire.List{Seq: 1, Whole: true, Hosts: known}}
 	c.Limits.MemoryMB, c.Limits.Sockets = 128, 256
 	_ = l.Close() // nothing else here uses this address
 	if g, err = New(c); err != nil {
@@ -223,14 +231,19 @@
 	}
 }
 
-// client connects as clients do.
-func heldClient(t *testing.T, g *Gateway) *end {
+// dialled is a connection to a gateway.
+func dialled(t *testing.T, g *Gateway) net.Conn {
 	c, err := net.Dial("tcp4", g.config.Listen.String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	e := newEnd(c)
 	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// heldClient connects as clients do.
+func heldClient(t *testing.T, g *Gateway) *end {
+	e := newEnd(dialled(t, g))
 	_, _ = e.Write(pgwire.AppendStartup(nil, "portal", "crm"))
 	e.answer()
 	return e
