Signals that come together: reloads with a broken file around an end

Each is put to a process that stands still (SIGSTOP), so that they come at once. Found: nothing; what was taken is answered, a new query is served, the program ends with status 0.

--- a/gateway/races_test.go
+++ b/gateway/races_test.go
@@ -155,3 +155,40 @@
 	// Output:
 	// <nil> true
 }
+
+// Signals at once, in whatever order the kernel hands them over: a reload that is asked for twice with a broken file, an end, and
+// a reload behind it. What was taken is answered, new queries are served for a moment, and the program ends with status 0.
+func Example_signalsTogether() {
+	for _, signals := range [][]syscall.Signal{
+		{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM},
+		{syscall.SIGTERM, syscall.SIGHUP},
+		{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP},
+	} {
+		m := newMember("m", "read-write", "slow")
+		w := start(256, m)
+		busy := w.connect()
+		got := make(chan string)
+		go func() { got <- ask(busy, sql("once", "")) }()
+		await(m.open)
+		must(os.WriteFile(w.config, []byte("{"), 0o600))
+		must(w.process.Process.Signal(syscall.SIGSTOP)) // they come while it stands still
+		for _, s := range signals {
+			must(w.process.Process.Signal(s))
+		}
+		must(w.process.Process.Signal(syscall.SIGCONT))
+		w.logged("leaving")
+		late := w.connect()
+		fmt.Println(ask(late, sql("any", "")), "/", await(got))
+		err := await(w.exited)
+		fmt.Println(err)
+		w.exited <- err
+		w.stop()
+	}
+	// Output:
+	// committed by m / committed by m
+	// <nil>
+	// committed by m / committed by m
+	// <nil>
+	// committed by m / committed by m
+	// <nil>
+}
