--- a/gateway/held_test.go
+++ b/gateway/held_test.go
@@ -221,6 +221,16 @@
 	<-done
 }
 
+// timesOut brings a call's time to an end, as if the span of its watch had passed.
+func (g *Gateway) timesOut(kind callKind) {
+	g.hold(func() {
+		c := &g.discovery.calls[kind]
+		g.deadlines.Drop(c.due)
+		c.due = g.deadlines.Add(int64(g.clock.now()), due{kind: dueCall, call: c})
+		g.onTimer()
+	})
+}
+
 // awaitUnread waits until something has come to a socket that the loop has not read.
 func awaitUnread(t *testing.T, fd int) {
 	t.Helper()
@@ -292,14 +302,7 @@
 	g, ended, stop := heldGateway(t, d, m.host("m", "active"))
 	first := d.next(t)
 	first.call(t)
-	giveUp := func() {
-		g.hold(func() {
-			c := &g.discovery.calls[callWatch]
-			g.deadlines.Drop(c.due)
-			c.due = g.deadlines.Add(int64(g.clock.now()), due{kind: dueCall, call: c})
-			g.onTimer()
-		})
-	}
+	giveUp := func() { g.timesOut(callWatch) }
 	inForce := func() (seq int64) {
 		g.hold(func() { seq = g.discovery.list.seq })
 		return seq
@@ -499,11 +502,7 @@
 	first := d.next(t)
 	first.call(t)
 	watch := &g.discovery.calls[callWatch]
-	g.hold(func() {
-		g.deadlines.Drop(watch.due)
-		watch.due = g.deadlines.Add(int64(g.clock.now()), due{kind: dueCall, call: watch})
-		g.onTimer()
-	})
+	g.timesOut(callWatch)
 	second := d.next(t)
 	second.call(t)
 	g.hold(func() {
--- a/gateway/wire_test.go
+++ b/gateway/wire_test.go
@@ -64,16 +64,6 @@
 	goldie.New(r.t, goldie.WithNameSuffix(".txt")).Assert(r.t, name, []byte(r.text.String()+r.log.String()))
 }
 
-// timesOut brings a call's time to an end, as if the span of its watch had passed.
-func (g *Gateway) timesOut(kind callKind) {
-	g.hold(func() {
-		c := &g.discovery.calls[kind]
-		g.deadlines.Drop(c.due)
-		c.due = g.deadlines.Add(int64(g.clock.now()), due{kind: dueCall, call: c})
-		g.onTimer()
-	})
-}
-
 // rested waits until members' idle connections have rested, so that the next query goes on one of them.
 func (g *Gateway) rested() {
 	for all := false; !all; {
@@ -207,16 +197,22 @@
 	r.approve("cancelled")
 }
 
+// follows starts a gateway that follows the list of a discovery, which is called so, with one member.
+func (r *recorder) follows(called string, d, a *script) (g *Gateway, watch *end, stop func()) {
+	g, ended, leave := heldGatewayThatLogs(r.t, slog.New(r), d, a.host("a", "active"))
+	watch = d.next(r.t)
+	r.says("gateway", "%s", watch.told(r.t))
+	watch.list(5, a.host("a", "active"))
+	r.says(called, "list 5: a is active")
+	r.says("gateway", "%s", watch.told(r.t))
+	return g, watch, func() { leave(); <-ended }
+}
+
 func TestTranscriptOfASilentWatchBeforeADrain(t *testing.T) {
 	t.Parallel()
 	r := &recorder{t: t}
 	d, a, b := newScript(t), newScript(t), newScript(t)
-	g, ended, stop := heldGatewayThatLogs(t, slog.New(r), d, a.host("a", "active"))
-	watch := d.next(t)
-	r.says("gateway", "%s", watch.told(t))
-	watch.list(5, a.host("a", "active"))
-	r.says("discovery", "list 5: a is active")
-	r.says("gateway", "%s", watch.told(t))
+	g, watch, end := r.follows("discovery", d, a)
 	c := heldClient(t, g)
 	c.ask("any", 9000)
 	idle := a.admit(t)
@@ -240,20 +236,14 @@
 	watch.list(6, a.host("a", "leaving"), b.host("b", "active"))
 	r.says("gateway", "%s of the silent watch", watch.ended())
 	r.approve("silent-watch")
-	stop()
-	<-ended
+	end()
 }
 
 func TestTranscriptOfAReload(t *testing.T) {
 	t.Parallel()
 	r := &recorder{t: t}
 	former, next, a, b := newScript(t), newScript(t), newScript(t), newScript(t)
-	g, ended, stop := heldGatewayThatLogs(t, slog.New(r), former, a.host("a", "active"))
-	watch := former.next(t)
-	r.says("gateway", "%s", watch.told(t))
-	watch.list(5, a.host("a", "active"))
-	r.says("former", "list 5: a is active")
-	r.says("gateway", "%s", watch.told(t))
+	g, watch, end := r.follows("former", former, a)
 	c := g.config
 	c.Discovery = next.at()
 	r.says("operator", "SIGHUP, with another discovery; an answer of the former one is in the socket then")
@@ -275,6 +265,5 @@
 	up.row("a", "read-only")
 	r.says("client", "%s", asks.answer())
 	r.approve("reload")
-	stop()
-	<-ended
+	end()
 }
