A read that brings a position ahead of the clock is not taken for one of the present

Its members check nothing, so the gateway's proof is all there is. Found by reading: arrived in gateway/txns.go gave the module the age of the position brought, at least 1 ns, by a time taken after the module's own. The module counts back from its own time, so that the floor came out lower by the time between the two, and a position ahead of the clock, as commits are rounded up to a millisecond, became the present. A replica that had reached the present, but not the position, was asked. Change: the age is by the module's time, and below nothing where the position is ahead, as Arrived has it. Test: TestPositionAheadOfTheClock: a member at 20 s ahead is asked for a position of 30 s ahead without the mend, and serves it; with it the read is declined at the end of its time.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,7 @@
 
 	inputs    []input
 	turning   bool
+	turnAt    decide.Nanos // the module's time
 	deadlines deadlines.Queue[due]
 	timer     *time.Timer
 	timerAt   int64 // what the timer is set to; 0 is nothing
--- a/gateway/held_test.go
+++ b/gateway/held_test.go
@@ -132,14 +132,16 @@
 	return string(body[:len(body)-1]), true
 }
 
-// row answers a query as a member of this name and mode.
-func (e *end) row(name, mode string) {
+// row answers a query as a member of this name and mode, which has reached the present.
+func (e *end) row(name, mode string) { e.rowAt(name, mode, time.Now().UnixMilli()) }
+
+func (e *end) rowAt(name, mode string, position int64) {
 	msg := func(kind byte, body string) string {
 		return string(binary.BigEndian.AppendUint32([]byte{kind}, uint32(len(body)+4))) + body
 	}
 	_, _ = io.WriteString(e, msg('T', "\x00\x01data\x00"+strings.Repeat("\x00", 18))+
 		msg('D', "\x00\x01\x00\x00\x00"+string(rune(len(name)))+name)+msg('C', "SELECT 1\x00")+
-		msg('S', "mode\x00"+mode+"\x00")+msg('S', fmt.Sprintf("wal_time\x00%d\x00", time.Now().UnixMilli()))+msg('Z', "I"))
+		msg('S', "mode\x00"+mode+"\x00")+msg('S', fmt.Sprintf("wal_time\x00%d\x00", position))+msg('Z', "I"))
 }
 
 // serve answers all that comes on all connections from now on, and tells how many txns did.
@@ -196,13 +198,19 @@
 
 // heldGatewayThatLogs is one whose log the test reads.
 func heldGatewayThatLogs(t *testing.T, log *slog.Logger, discovery *script, known ...httpwire.Host) (g *Gateway, ended chan error, stop func()) {
+	return heldGatewayWith(t, func(c *Config) { c.Log = log }, discovery, known...)
+}
+
+// heldGatewayWith is one whose configuration the test changes.
+func heldGatewayWith(t *testing.T, change func(*Config), discovery *script, known ...httpwire.Host) (g *Gateway, ended chan error, stop func()) {
 	l, err := net.Listen("tcp4", "127.0.0.3:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	c := Config{Name: "n", Listen: l.Addr().(*net.TCPAddr).AddrPort(), Seed: "1", Settings: json.RawMessage(heldSettings),
-		Log: log, Discovery: discovery.at(), Known: &httpwire.List{Seq: 1, Whole: true, Hosts: known}}
+		Discovery: discovery.at(), Known: &httpwire.List{Seq: 1, Whole: true, Hosts: known}}
 	c.Limits.MemoryMB, c.Limits.Sockets = 128, 256
+	change(&c)
 	_ = l.Close() // nothing else here uses this address
 	if g, err = New(c); err != nil {
 		t.Fatal(err)
@@ -595,3 +603,49 @@
 		<-ended
 	}
 }
+
+// A read that brings a position ahead of this machine's clock, as a commit's is rounded up: a member that has not reached it is
+// not asked, though it has reached the present. Here the position is seconds ahead, so that no time on the way closes the gap.
+func TestPositionAheadOfTheClock(t *testing.T) {
+	t.Parallel()
+	d, a := newScript(t), newScript(t)
+	g, ended, stop := heldGatewayWith(t, func(c *Config) {
+		text := strings.Replace(heldSettings, `"eventual"`, `"causal"`, 1)
+		c.Settings = json.RawMessage(strings.Replace(text, `"whenBehind":"await"`, `"whenBehind":"none"`, 1))
+		c.ClockError = time.Minute
+	}, d, a.host("a", "active"))
+	d.next(t).call(t)
+	c := heldClient(t, g)
+	ahead := func(by time.Duration) int64 { return time.Now().Add(by).UnixMilli() }
+	asks := func(after int64) {
+		text := fmt.Sprintf("/* id=%016x,c=any,d=2000,cluster=0,after=%d */ SELECT data FROM facts WHERE code = '7f3a'", heldIDs.Add(1), after)
+		_, _ = c.Write(pgwire.AppendQuery(nil, text))
+	}
+	c.ask("any", 9000)
+	up := a.admit(t)
+	up.query()
+	reached := ahead(20 * time.Second)
+	up.rowAt("a", "read-only", reached)
+	c.answer()
+	g.rested()
+	asks(reached)
+	up.query()
+	up.rowAt("a", "read-only", reached)
+	if got := c.answer(); got != "served by a" { // which has reached it
+		t.Error(got)
+	}
+	g.rested()
+	asks(reached + 10_000)
+	sent := make(chan string, 1)
+	go func() {
+		if text, ok := up.query(); ok {
+			sent <- text
+			up.rowAt("a", "read-only", reached)
+		}
+	}()
+	if got := c.answer(); got != "53300" || len(sent)+len(a.come) > 0 {
+		t.Errorf("%s: a member was asked that has not reached what the read must see", got)
+	}
+	stop()
+	<-ended
+}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -134,7 +134,8 @@
 	g.turning = true
 	began := g.clock.now()
 	for {
-		g.module.Clock(g.clock.now())
+		g.turnAt = g.clock.now()
+		g.module.Clock(g.turnAt)
 		if g.sessions != nil { // what comes is told at its time: after a quiet spell the former one is long past
 			g.sessions.Clock()
 		}
--- a/gateway/txns.go
+++ b/gateway/txns.go
@@ -132,7 +132,11 @@
 	}
 	var age decide.Nanos
 	if need == "causal" && comment.After > 0 {
-		age = max(1, t.arrived-g.clock.at(comment.After))
+		// By the module's time, which counts back from it: by a later one the position would come out older than it is. Nor
+		// is one that is ahead of the clock, as commits are rounded up, taken for the present.
+		if age = g.turnAt - g.clock.at(comment.After); age == 0 {
+			age = -1 // 0 is none
+		}
 	}
 	if err := g.module.Arrived(t.id, t.class, 0, t.session, budget, 0, comment.Group, age); err != nil {
 		g.settled(c.txn, true)
