Log and count why connections close, requests go unanswered and attempts end

A request whose connection the gateway ends before its answer is logged with id, class, reason, age and attempts; a client that leaves is counted only. Counters by cause: magpieglade_client_connections_closed_total, magpieglade_requests_unanswered_total, magpieglade_attempts_total. The line at the end says whether it was asked for. Behaviour is unchanged.

--- a/decide/interface.go
+++ b/decide/interface.go
@@ -51,6 +51,17 @@
 	Reset       // the connection was made and failed before the txn was out: never ran
 )
 
+// resultNames are the labels of results in logs and metrics.
+var resultNames = [...]string{Committed: "committed", Failed: "failed", Full: "full", TimedOut: "timed out", Unreachable: "unreachable",
+	Broken: "broken", Cancelled: "cancelled", Moot: "not sent", Missed: "missed", Reset: "reset before sent"}
+
+func (r Result) String() string {
+	if r < 0 || int(r) >= len(resultNames) {
+		return fmt.Sprintf("result %d", int(r))
+	}
+	return resultNames[r]
+}
+
 // Role is what an answer says of the member that gave it.
 type Role int
 
--- a/gateway/agreed.go
+++ b/gateway/agreed.go
@@ -269,6 +269,7 @@
 // Figures are what a gateway counts, and how it stands to its fleet, nil where it agrees on nothing.
 type Figures struct {
 	Taken, Declined, RolledBack, Withdrawn, Unagreed int // txns of its whole life
+	Outcomes                                         Outcomes
 	Fleet                                            *fleet.Status
 }
 
@@ -277,7 +278,7 @@
 	var f Figures
 	err := g.inLoop(ctx, func() error {
 		c := &g.counts
-		f = Figures{Taken: c.taken, Declined: c.declined, RolledBack: c.rolledBack, Withdrawn: c.withdrawn, Unagreed: c.unagreed}
+		f = Figures{Taken: c.taken, Declined: c.declined, RolledBack: c.rolledBack, Withdrawn: c.withdrawn, Unagreed: c.unagreed, Outcomes: g.outcomes.snapshot()}
 		if g.agreed != nil {
 			s := g.agreed.f.Status()
 			f.Fleet = &s
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"container/list"
 	"crypto/rand"
 	"crypto/subtle"
@@ -87,8 +88,9 @@
 	partSeen int       // answers of keepers, when it was told to
 	connects uint64    // the bound of the fleet that it counts against, 0 for none
 	key      pgwire.CancelKey
-	consumed int64     // bytes of it that are dealt with
-	came     []arrival // when the bytes behind those came, first come first
+	consumed int64       // bytes of it that are dealt with
+	came     []arrival   // when the bytes behind those came, first come first
+	reason   closeReason // why the gateway closes the connection, empty while it does not
 }
 
 // arrival is when a client's bytes up to some count had come.
@@ -141,6 +143,7 @@
 	if !counted {
 		cs.noteFull(true)
 		if cs.turnedAway >= mostTurned { // an error that is cut off by a reset would be worse than none
+			cs.g.outcomes.clientsClosed[closedTooMany]++
 			return nil, gnet.Close
 		}
 		cs.turnedAway++
@@ -207,7 +210,7 @@
 				break
 			}
 			e = e.Next()
-			cs.sendAway(c)
+			cs.sendAway(c, closedForRoom)
 		}
 	}
 }
@@ -215,21 +218,31 @@
 // sendAway closes a connection between its client's requests, unless one has come that is not read yet: it is
 // served first. It closes at once: what the loop would still read before a close that is only posted would
 // look taken to the client, and never be answered.
-func (cs *clients) sendAway(c *client) {
+func (cs *clients) sendAway(c *client, reason closeReason) {
 	var one [1]byte
 	n, _, err := unix.Recvfrom(c.conn.Fd(), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	if err == nil && n > 0 || c.conn.InboundBuffered() > 0 {
 		return
 	}
+	cs.close(c, reason)
+}
+
+// close closes a connection at once; of several reasons the first counts.
+func (cs *clients) close(c *client, reason closeReason) {
+	c.reason = cmp.Or(c.reason, reason)
 	_ = cs.g.loop.Close(c.conn)
 }
 
 // clientClosed is the one place where a client is given back. What it had asked for is withdrawn.
-func (cs *clients) clientClosed(ref slots.Ref) {
+func (cs *clients) clientClosed(ref slots.Ref, why error) {
 	c := cs.open.Get(ref)
 	if c == nil {
 		return
 	}
+	if c.reason == "" {
+		c.reason = reasonOf(why)
+	}
+	cs.g.outcomes.clientsClosed[c.reason]++
 	cs.held -= c.held
 	cs.leaves(c)
 	cs.leaveStage(c)
@@ -251,6 +264,9 @@
 func (cs *clients) withdraw(c *client) {
 	if t := cs.g.txns.Get(c.txn); t != nil && !t.answered {
 		t.answered = true
+		if !c.reason.answered() {
+			cs.g.noteUnanswered(t, c.reason)
+		}
 		cs.g.inputs = append(cs.g.inputs, input{kind: inWithdrawn, ref: c.txn})
 	}
 	c.txn = slots.Ref{}
@@ -321,9 +337,9 @@
 		cs.g.deadlines.Drop(c.due)
 		c.due = cs.g.deadlines.Add(int64(cs.g.clock.now()+leastQuiet), due{kind: dueClient, ref: ref})
 	case c.stage == fresh || c.stage == quiet:
-		cs.sendAway(c)
+		cs.sendAway(c, closedIdle)
 	default:
-		_ = cs.g.loop.Close(c.conn)
+		cs.close(c, closedSlowReader)
 	}
 }
 
@@ -338,7 +354,7 @@
 		cs.again(ref, c)
 		return
 	}
-	cs.sendAway(c)
+	cs.sendAway(c, closedByShutdown)
 }
 
 // again looks at a client again in a moment, for which no event will come.
@@ -359,6 +375,7 @@
 // just written may be lost with it.
 func (cs *clients) refuse(ref slots.Ref, code, message string) {
 	c := cs.open.Get(ref)
+	c.reason = closedWithErrorCode + closeReason(code)
 	cs.withdraw(c)
 	cs.enter(ref, c, leaving)
 	cs.writeClient(c, pgwire.AppendError(cs.g.scratch[:0], "FATAL", code, message, ""))
@@ -491,7 +508,7 @@
 		if key, ok := pgwire.ReadCancelKey(buf[:size]); ok {
 			cs.cancel(key)
 		}
-		_ = cs.g.loop.Close(c.conn)
+		cs.close(c, closedByCancel)
 		return 0
 	case kind == pgwire.Startup && !c.counted:
 		cs.refuse(ref, "53300", "too many connections")
@@ -529,7 +546,7 @@
 	case 'Q':
 		return cs.readQuery(ref, c, body, size)
 	case 'X':
-		_ = cs.g.loop.Close(c.conn)
+		cs.close(c, closedTerminated)
 		return 0
 	case 'S': // Sync
 		c.skipping = false
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,6 +64,7 @@
 	raised    []byte // a statement with the floor of its read
 	parts     [][]byte
 	counts    counts
+	outcomes  outcomes
 
 	generations *generations
 	sessions    *fleet.Sessions  // nil where the operator says nothing of them
@@ -101,7 +102,7 @@
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
 	g := &Gateway{config: c, names: n, module: module, clock: newClock(c.Elapsed), started: make(chan struct{}),
-		byID: map[uint64]slots.Ref{}, least: new(slog.LevelVar)}
+		byID: map[uint64]slots.Ref{}, least: new(slog.LevelVar), outcomes: newOutcomes()}
 	g.least.Set(everything)
 	g.seed = seed
 	g.log = slog.New(levelled{cmp.Or(c.Log, slog.Default()).Handler(), g.least}).With("gateway", c.Name)
@@ -183,7 +184,7 @@
 		gnet.WithReuseAddr(true),
 		gnet.WithTicker(true),
 		gnet.WithLogger(gnetLog{g.log}))
-	g.log.Info("ended", "taken", g.counts.taken, "declined", g.counts.declined, "rolled_back", g.counts.rolledBack,
+	g.log.Info("ended", "asked", g.leaving, "taken", g.counts.taken, "declined", g.counts.declined, "rolled_back", g.counts.rolledBack,
 		"withdrawn", g.counts.withdrawn, "open", g.txns.Len(), "most_descriptors", g.budget.most,
 		"longest_turn_us", int64(g.longest/1000), "latest_timer_us", int64(g.latest/1000))
 	return errors.Join(err, g.ended)
@@ -288,7 +289,7 @@
 	g.closing = true
 	for _, ref := range g.clients.open.Refs() {
 		if c := g.clients.open.Get(ref); c.stage == fresh {
-			g.clients.sendAway(c)
+			g.clients.sendAway(c, closedByShutdown)
 			continue
 		}
 		g.inputs = append(g.inputs, input{kind: inReadable, ref: ref})
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -431,7 +431,7 @@
 	}
 	switch o.kind {
 	case ownerClient:
-		g.clients.clientClosed(o.ref)
+		g.clients.clientClosed(o.ref, why)
 	case ownerMember:
 		flushed := c.OutboundBuffered() == 0
 		if !flushed { // the library would write the rest before it closes: a query that counts as never run would run
--- /dev/null
+++ b/gateway/outcomes_test.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+)
+
+// awaitOutcome waits until a count by cause has come to what is wanted.
+func awaitOutcome(t *testing.T, g *Gateway, count func(*Outcomes) uint64, want uint64) {
+	t.Helper()
+	for end := time.Now().Add(soonHeld); ; {
+		var got uint64
+		g.hold(func() {
+			o := g.outcomes.snapshot()
+			got = count(&o)
+		})
+		if got == want {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("counted %d, want %d", got, want)
+		}
+	}
+}
+
+// Each close of a client's connection and each end of an attempt is counted under its cause.
+func TestOutcomesAreCountedByCause(t *testing.T) {
+	t.Parallel()
+	d, m := newScript(t), newScript(t)
+	g, ended, stop := heldGateway(t, d, m.host("m", "active"))
+	leaves, terminates, spoils := heldClient(t, g), heldClient(t, g), heldClient(t, g)
+	leaves.ask("any", 9000)
+	up := m.next(t)
+	up.startup()
+	up.ready()
+	up.query()
+	_ = leaves.Close()
+	awaitOutcome(t, g, func(o *Outcomes) uint64 { return o.Unanswered[string(closedByClient)] }, 1)
+	awaitOutcome(t, g, func(o *Outcomes) uint64 { return o.Attempts["cancelled"] }, 1)
+	_, _ = terminates.Write([]byte("X\x00\x00\x00\x04"))
+	awaitOutcome(t, g, func(o *Outcomes) uint64 { return o.ClientsClosed[string(closedTerminated)] }, 1)
+	_, _ = spoils.Write([]byte("?\x00\x00\x00\x04"))
+	spoils.answer()
+	_ = spoils.Close()
+	awaitOutcome(t, g, func(o *Outcomes) uint64 { return o.ClientsClosed["refused 08P01"] }, 1)
+	stop()
+	<-ended
+}
--- a/gateway/txns.go
+++ b/gateway/txns.go
@@ -338,6 +338,7 @@
 		return
 	}
 	t.out--
+	g.outcomes.attempts[in.result]++
 	g.module.Ended(t.id, in.no, in.server, in.result, in.elapsed, in.role, in.position,
 		t.answered, in.report)
 	g.settled(in.ref, false)
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -21,6 +21,13 @@
 	all    []figure
 	bounds [4]*prometheus.Desc // of the fleet
 	used   *prometheus.Desc    // of contracts
+	causes []cause
+}
+
+// cause is a counter by cause.
+type cause struct {
+	desc *prometheus.Desc
+	of   func(*gateway.Outcomes) map[string]uint64
 }
 
 // figure is one of them; ok is false where the gateway has none.
@@ -79,6 +86,15 @@
 		f.bounds[i] = prometheus.NewDesc("magpieglade_bound_"+x[0], x[1], []string{"bound"}, nil)
 	}
 	f.used = prometheus.NewDesc("magpieglade_contract_txns", "Txns of a contract's latest window, as this gateway knows them: those of all at one that votes.", []string{"contract", "outcome"}, nil)
+	byCause := func(name, help, label string, of func(*gateway.Outcomes) map[string]uint64) {
+		f.causes = append(f.causes, cause{prometheus.NewDesc("magpieglade_"+name, help, []string{label}, nil), of})
+	}
+	byCause("client_connections_closed_total", "Client connections, by why they were closed.", "reason",
+		func(x *gateway.Outcomes) map[string]uint64 { return x.ClientsClosed })
+	byCause("requests_unanswered_total", "Requests without a final answer, by why their connection was closed.", "reason",
+		func(x *gateway.Outcomes) map[string]uint64 { return x.Unanswered })
+	byCause("attempts_total", "Attempts at members, by how they ended.", "result",
+		func(x *gateway.Outcomes) map[string]uint64 { return x.Attempts })
 	return f
 }
 
@@ -91,6 +107,9 @@
 		to <- d
 	}
 	to <- f.used
+	for _, x := range f.causes {
+		to <- x.desc
+	}
 }
 
 // Collect is for the library.
@@ -106,6 +125,11 @@
 			to <- prometheus.MustNewConstMetric(x.desc, x.kind, value)
 		}
 	}
+	for _, x := range f.causes {
+		for label, n := range x.of(&now.Outcomes) {
+			to <- prometheus.MustNewConstMetric(x.desc, prometheus.CounterValue, float64(n), label)
+		}
+	}
 	if v, err := f.g.Contracts(ctx); err == nil && v != nil {
 		for _, c := range v.Book.Live() {
 			all, _, err := f.g.Statements(ctx, c.Now().Terms.Name, v.Now-contracts.KeepSpan, v.Now)
