--- /dev/null
+++ b/gateway/reentry_test.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"magpieglade/internal/slots"
+)
+
+// awaitHangUp waits until the other side of a connection has reset it, and leaves that unread.
+func awaitHangUp(t *testing.T, fd int) {
+	t.Helper()
+	for end := time.Now().Add(soonHeld); time.Now().Before(end); {
+		state := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		if n, err := unix.Poll(state, 10); err == nil && n == 1 && state[0].Revents&(unix.POLLHUP|unix.POLLERR) != 0 {
+			return
+		}
+	}
+	t.Fatal("the reset did not come")
+}
+
+// TestAnswerToClientThatReset guards against a decision that is carried out within the write of an answer, when the client
+// turns out to be gone and the request's time is up: it gave back the connection that the answer was being read from.
+func TestAnswerToClientThatReset(t *testing.T) {
+	t.Parallel()
+	var late atomic.Pointer[func() bool]
+	d, m := newScript(t), newScript(t)
+	began := time.Now()
+	g, ended, stop := heldGatewayWith(t, func(c *Config) {
+		c.Elapsed = func() time.Duration {
+			if f := late.Load(); f != nil && (*f)() {
+				return time.Since(began) + time.Minute
+			}
+			return time.Since(began)
+		}
+	}, d, m.host("m", "active"))
+	d.next(t).call(t)
+	c := heldClient(t, g)
+	c.ask("any", 9000)
+	up := m.next(t)
+	up.startup()
+	up.ready()
+	up.query()
+	g.hold(func() {
+		var request slots.Ref
+		for _, ref := range g.txns.Refs() {
+			request = ref
+		}
+		// From the moment of its answer on the request's time is up.
+		answered := func() bool {
+			x := g.txns.Get(request)
+			return x == nil || x.answered
+		}
+		late.Store(&answered)
+		up.row("m", "read-only")
+		awaitUnread(t, g.members.conns.Get(g.txns.Get(request).subs[0]).conn.Fd())
+		_ = c.SetLinger(0)
+		_ = c.Close()
+		for _, ref := range g.clients.open.Refs() {
+			awaitHangUp(t, g.clients.open.Get(ref).conn.Fd())
+		}
+	})
+	other := heldClient(t, g)
+	other.ask("any", 9000)
+	served := m.serve("m", "read-only")
+	go func() { // on the connection that served before, if it was kept
+		if _, ok := up.query(); ok {
+			served.Add(1)
+			up.row("m", "read-only")
+		}
+	}()
+	if got := other.answer(); got != "served by m" {
+		t.Error(got)
+	}
+	stop()
+	<-ended
+}
