No decision is carried out within the write of an answer

Cause: a write that fails closes its connection within it, and OnClose ran a whole turn there (loop.go, OnClose). A decision of that turn called off the attempt whose answer was being read, and members.ready went on with a connection that had been given back. Why this works: each entry from the library and each posted function is one event; what comes within one is noted, and the one turn comes behind the outermost, when no handler holds state of its own. The guard that giveUp had by hand for this goes. Checked for the same class: all uses of a table's entry behind a write or a close in gateway/.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,6 +47,7 @@
 	ended   error // why the loop ends, if not as asked
 
 	inputs    []input
+	handling  bool // an event, within which others may come
 	turning   bool
 	turnAt    decide.Nanos // the module's time
 	deadlines deadlines.Queue[due]
@@ -246,8 +247,7 @@
 // post runs something on the loop, in a turn of its own.
 func (g *Gateway) post(f func()) {
 	_ = g.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
-		f()
-		g.turn()
+		g.handle(f)
 		return g.end()
 	}))
 }
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -126,9 +126,22 @@
 	inNews
 )
 
+// handle deals with an event and runs a turn behind it. Other events may come within one, as a write that fails closes
+// its connection: they are noted, and no decision is carried out before the outermost handler is done with its state.
+func (g *Gateway) handle(event func()) {
+	if g.handling {
+		event()
+		return
+	}
+	g.handling = true
+	event()
+	g.handling = false
+	g.turn()
+}
+
 // turn tells the module what came and carries out its decisions until none is left.
 func (g *Gateway) turn() {
-	if g.turning || g.loop == nil {
+	if g.turning || g.handling || g.loop == nil {
 		return
 	}
 	g.turning = true
@@ -370,6 +383,11 @@
 
 // OnOpen gives a connection to whom it belongs.
 func (g *Gateway) OnOpen(c gnet.Conn) (out []byte, action gnet.Action) {
+	g.handle(func() { out, action = g.opened(c) })
+	return out, action
+}
+
+func (g *Gateway) opened(c gnet.Conn) (out []byte, action gnet.Action) {
 	o, enrolled := c.Context().(*owner)
 	if !enrolled {
 		return g.clients.clientOpened(c)
@@ -386,7 +404,6 @@
 			g.sessions.Started()
 		}
 		g.generations.start(g.config.Change)
-		g.turn()
 		return nil, gnet.Close
 	case ownerMember:
 		g.budget.give(1)
@@ -398,13 +415,22 @@
 	return nil, gnet.Close
 }
 
-// OnTraffic notes what came and turns. Connections to members are closed by posting, as more may be told of them
+// OnTraffic notes what came. Connections to members are closed by posting, as more may be told of them
 // in the turn; clients at once, see sendAway. Events that come for a closed one find its object, not its descriptor.
 func (g *Gateway) OnTraffic(c gnet.Conn) gnet.Action {
 	o, ok := c.Context().(*owner)
 	if !ok {
 		return gnet.Close
 	}
+	g.handle(func() { g.read(c, o) })
+	if g.end() != nil {
+		return gnet.Shutdown
+	}
+	return gnet.None
+}
+
+// read takes what came on a connection.
+func (g *Gateway) read(c gnet.Conn, o *owner) {
 	switch o.kind {
 	case ownerClient:
 		g.inputs = append(g.inputs, input{kind: inReadable, ref: o.ref})
@@ -413,11 +439,6 @@
 	case ownerDiscovery:
 		g.discovery.readDiscovery(c, o)
 	}
-	g.turn()
-	if g.end() != nil {
-		return gnet.Shutdown
-	}
-	return gnet.None
 }
 
 // OnClose comes when a connection has ended, whoever ended it, and may come within a write to it.
@@ -426,6 +447,15 @@
 	if !ok {
 		return gnet.None
 	}
+	g.handle(func() { g.closed(c, o, why) })
+	if g.end() != nil {
+		return gnet.Shutdown
+	}
+	return gnet.None
+}
+
+// closed gives back what a connection held.
+func (g *Gateway) closed(c gnet.Conn, o *owner, why error) {
 	if o.counted {
 		g.budget.give(1)
 	}
@@ -441,11 +471,6 @@
 	case ownerDiscovery:
 		g.discovery.discoveryClosed(o, c, errors.Is(why, io.EOF))
 	}
-	g.turn()
-	if g.end() != nil {
-		return gnet.Shutdown
-	}
-	return gnet.None
 }
 
 // hasUnread tells whether something waits on a socket that the loop has not read, be it its end.
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -287,12 +287,10 @@
 	if m.phase != busy {
 		return
 	}
-	// At once, and no turn before it is closed: what is sent elsewhere instead would be a second copy beside an open one.
-	conn, turning := m.conn, ms.g.turning
+	// At once, before a turn: what is sent elsewhere instead would be a second copy beside an open one.
+	conn := m.conn
 	ms.release(ref)
-	ms.g.turning = true
 	_ = ms.g.loop.Close(conn)
-	ms.g.turning = turning
 }
 
 func (ms *members) submissionTimedOut(ref slots.Ref) {
