Idle connections to members make way for clients

Callers on new connections were told 53300, or closed without a word, while no other client was there. Cause: clientOpened took a descriptor only if a third stayed free for members, though connections to members that nobody used held up to 191 of 224 (counted at the refusal: phases idle 156 to 191, clients 0). Members' dials already gave such connections up for room, clients' did not. TestIdleMemberConnectionsMakeWayForClients failed (client 14 is told 53300) and passes now. Why it works: the connection that was used longest ago is closed until the client has its descriptor, as connect does for members.

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -140,6 +140,9 @@
 	cs.makeRoom(others+(cs.g.budget.all-others)/sparePart, leastQuiet)
 	cs.makeRoom(others+1, leastFresh) // one who comes has something to ask
 	counted := cs.g.budget.take(1, others)
+	for !counted && cs.g.members.closeLongestIdle() {
+		counted = cs.g.budget.take(1, others)
+	}
 	if !counted {
 		cs.noteFull(true)
 		if cs.turnedAway >= mostTurned { // an error that is cut off by a reset would be worse than none
