Example_writeAndRead reads the deadline of its statement, not the digits of its id

The test was wrong: d=(\d+) matched 'id=' in the comment, so that an id whose last digit is a letter read as 0 and the example failed by the order of tests (once in a run of the whole package: 'true false').

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -398,7 +398,7 @@
 	return "committed by " + string(results[0].Rows[0][0])
 }
 
-var budget = regexp.MustCompile(`d=(\d+)`)
+var budget = regexp.MustCompile(`,d=(\d+)`)
 
 // A write finds the primary, a read that must see it goes to a replica, and the statement is passed on as it
 // came but for the time that the gateway waits.
@@ -419,8 +419,8 @@
 		passed = await(r.open)
 	}
 	var d int
-	_, err := fmt.Sscanf(budget.FindString(passed), "d=%d", &d)
-	fmt.Println(budget.ReplaceAllString(passed, "d=900") == budget.ReplaceAllString(read, "d=900"), d > 0 && d <= 900, err)
+	_, err := fmt.Sscanf(budget.FindString(passed), ",d=%d", &d)
+	fmt.Println(budget.ReplaceAllString(passed, ",d=900") == budget.ReplaceAllString(read, ",d=900"), d > 0 && d <= 900, err)
 	// Output:
 	// empty
 	// committed by p
