A failed accept ends neither the event loop nor the process

Cause: the network library's loop ends with any error of accept4 but EINTR, EAGAIN, ECONNRESET and ECONNABORTED (its function accept returns ErrAcceptSocket, Polling returns), closes all connections, and Run returns no error (gateway.go, gnet.Run). Evidence: TestOpenRequestsSurviveFailedAccept, EMFILE by prlimit: 'gnet: Accept() failed', 'event-loop(0) is exiting', status 0. Change: the loop has no listener (gnet.Client). An acceptor of our own takes clients from a net.Listener, hands them to the loop one at a time, and tries again after any error, 1 to 20 ms later, until the listener is closed. A connection that the loop's epoll set does not take is told as an error, where it hung as dialled. The start waits up to 5 s for a listener, a loop and its handle. An end that nobody asked for has an error and status 1, and no decision is carried out behind the loop's end. Log: 'accepting clients fails', 'accepting clients again'; metrics: accept_errors_total, dial_errors_total by error. TestOutcomesAreCountedByCause lost its stand-in to the garbage collector in 1 of 10 plays, and now keeps it.

--- /dev/null
+++ b/gateway/accept.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"errors"
+	"net"
+	"time"
+)
+
+// acceptor takes client connections from a listener and hands them to the event loop, one at a time. An error of accept ends
+// neither the loop nor the acceptor: it tries again after a pause, until the listener is closed.
+type acceptor struct {
+	listener net.Listener
+	enroll   func(net.Conn) error
+	noteFail func(err error, first bool)
+	noteGood func(failures int, span time.Duration)
+}
+
+// run accepts until the listener is closed.
+func (a *acceptor) run() {
+	var pause backoff
+	failures, since := 0, time.Time{}
+	for {
+		c, err := a.listener.Accept()
+		if err == nil {
+			err = a.enroll(c)
+		}
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			if failures == 0 {
+				since = time.Now()
+			}
+			failures++
+			a.noteFail(err, failures == 1)
+			time.Sleep(pause.next())
+		case failures > 0:
+			a.noteGood(failures, time.Since(since))
+			failures = 0
+			pause.reset()
+		}
+	}
+}
+
+// acceptClients serves the clients of the gateway's listener until it is closed.
+func (g *Gateway) acceptClients() {
+	a := acceptor{
+		listener: g.listener,
+		enroll:   func(c net.Conn) error { return g.enroll(c, &owner{kind: ownerClient}) },
+		noteFail: func(err error, first bool) {
+			g.post(func() { g.outcomes.acceptErrors[errorLabel(err)]++ })
+			if first {
+				g.log.Warn("accepting clients fails, trying again", "why", err)
+			}
+		},
+		noteGood: func(failures int, span time.Duration) {
+			g.log.Info("accepting clients again", "failures", failures, "span_ms", span.Milliseconds())
+		},
+	}
+	a.run()
+}
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -135,7 +135,7 @@
 	return 0
 }
 
-func (cs *clients) clientOpened(c gnet.Conn) ([]byte, gnet.Action) {
+func (cs *clients) clientOpened(c gnet.Conn, o *owner) ([]byte, gnet.Action) {
 	others := cs.g.budget.all / membersPart
 	cs.makeRoom(others+(cs.g.budget.all-others)/sparePart, leastQuiet)
 	cs.makeRoom(others+1, leastFresh) // one who comes has something to ask
@@ -152,9 +152,9 @@
 		cs.turnedAway++
 	}
 	now := cs.g.clock.now()
-	ref := cs.open.Add(client{conn: c, counted: counted, openedAt: now})
-	c.SetContext(&owner{kind: ownerClient, ref: ref, counted: counted})
-	cs.enter(ref, cs.open.Get(ref), fresh)
+	o.ref = cs.open.Add(client{conn: c, counted: counted, openedAt: now})
+	o.counted = counted
+	cs.enter(o.ref, cs.open.Get(o.ref), fresh)
 	return nil, gnet.None
 }
 
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -38,6 +38,7 @@
 	Coordination *fleet.CoordinationPlan                     `json:"-"` // what many gateways choose together; nil where each does for itself
 	Parse        func(text []byte) (*routes.Document, error) `json:"-"` // of a version that was agreed on
 	Elapsed      func() time.Duration                        `json:"-"` // since some moment, never back; nil is the system's clock
+	Network      Network                                     `json:"-"` // nil is the operating system's
 	ClockError   time.Duration                               `json:"-"` // how far the clocks of machines may differ; positions up to this far ahead are believed
 }
 
--- /dev/null
+++ b/gateway/eventloop.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+
+	"github.com/panjf2000/gnet/v2"
+)
+
+// serve runs the event loop until its end. The loop has no listener of the library's: that would end it with the first error
+// of accept that the library does not know.
+func (g *Gateway) serve() error {
+	err := retryLocal(startPatience, func() (err error) {
+		g.listener, err = g.network.Listen(g.config.Listen)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	defer g.listener.Close()
+	loop, err := gnet.NewClient(g, gnet.WithNumEventLoop(1), gnet.WithLogger(gnetLog{g.log}))
+	if err != nil {
+		return err
+	}
+	if err := retryLocal(startPatience, loop.Start); err != nil {
+		return fmt.Errorf("the event loop does not start: %w", err)
+	}
+	if err := retryLocal(startPatience, func() error { return g.openLoop(loop) }); err != nil {
+		return errors.Join(fmt.Errorf("no handle on the event loop: %w", err), loop.Stop())
+	}
+	<-g.loopEnded
+	err = loop.Stop()
+	if err == nil && !g.stopped {
+		err = errors.New("it ended by itself")
+	}
+	if err != nil {
+		return fmt.Errorf("the event loop: %w", err)
+	}
+	return nil
+}
+
+// openLoop gives the gateway its handle on the loop, which comes with a connection: one that goes nowhere and stays open
+// until the loop ends.
+func (g *Gateway) openLoop(loop *gnet.Client) error {
+	c, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(g.config.Listen))
+	if err != nil {
+		return err
+	}
+	o := &owner{kind: ownerStarter}
+	if _, err := loop.EnrollContext(c, o); err != nil {
+		return err
+	}
+	if !o.opened {
+		return errNotRegistered
+	}
+	return nil
+}
+
+// enroll hands a connection to the loop, which has a descriptor of its own for it, and returns once it is open there. A
+// connection that the loop does not take is closed.
+func (g *Gateway) enroll(c net.Conn, o *owner) error {
+	opened, err := g.loop.Enroll(gnet.NewContext(context.Background(), o), c)
+	if err != nil {
+		_ = c.Close()
+		return err
+	}
+	select {
+	case result := <-opened:
+		if result.Err == nil && !o.opened {
+			return errNotRegistered
+		}
+		return result.Err
+	case <-g.loopEnded:
+		return net.ErrClosed
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"net"
 	"net/netip"
 	"runtime/debug"
 	"slices"
@@ -35,16 +36,17 @@
 // Gateway is one gateway. Its fields belong to the event loop once Run has begun.
 type Gateway struct {
 	gnet.BuiltinEventEngine
-	config  Config
-	names   names
-	log     *slog.Logger
-	least   *slog.LevelVar // that is logged, by the generation in force
-	module  *decide.Gateway
-	clock   clock
-	started chan struct{} // closed when there is a loop to post to
-	engine  gnet.Engine
-	loop    gnet.EventLoop
-	ended   error // why the loop ends, if not as asked
+	config    Config
+	names     names
+	log       *slog.Logger
+	least     *slog.LevelVar // that is logged, by the generation in force
+	module    *decide.Gateway
+	clock     clock
+	started   chan struct{} // closed when there is a loop to post to
+	loopEnded chan struct{} // closed when the loop has ended
+	network   Network
+	listener  net.Listener
+	loop      gnet.EventLoop
 
 	inputs    []input
 	handling  bool // an event, within which others may come
@@ -79,6 +81,7 @@
 	latest      decide.Nanos // timer so far, behind its time
 
 	leaving bool         // told to end
+	stopped bool         // has told the loop to end
 	closing bool         // and sends clients away that have their answers
 	empty   decide.Nanos // since when there is none
 	last    decide.Nanos
@@ -102,10 +105,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	g := &Gateway{config: c, names: n, module: module, clock: newClock(c.Elapsed), started: make(chan struct{}),
+	g := &Gateway{config: c, names: n, module: module, clock: newClock(c.Elapsed), started: make(chan struct{}), loopEnded: make(chan struct{}),
 		byID: map[uint64]slots.Ref{}, least: new(slog.LevelVar), outcomes: newOutcomes()}
 	g.least.Set(everything)
 	g.seed = seed
+	if g.network = c.Network; g.network == nil {
+		g.network = SystemNetwork{}
+	}
 	g.log = slog.New(levelled{cmp.Or(c.Log, slog.Default()).Handler(), g.least}).With("gateway", c.Name)
 	g.members = members{g: g, pools: map[decide.Server]*pool{}}
 	g.clients.keys = map[uint32]slots.Ref{}
@@ -179,16 +185,11 @@
 		g.post(g.leave)
 	})
 	defer stop()
-	err := gnet.Run(g, "tcp4://"+g.config.Listen.String(),
-		gnet.WithNumEventLoop(1),
-		gnet.WithReusePort(true), // with it the loop accepts, without it a thread beside the loop
-		gnet.WithReuseAddr(true),
-		gnet.WithTicker(true),
-		gnet.WithLogger(gnetLog{g.log}))
+	err := g.serve()
 	g.log.Info("ended", "asked", g.leaving, "taken", g.counts.taken, "declined", g.counts.declined, "rolled_back", g.counts.rolledBack,
 		"withdrawn", g.counts.withdrawn, "open", g.txns.Len(), "most_descriptors", g.budget.most,
 		"longest_turn_us", int64(g.longest/1000), "latest_timer_us", int64(g.latest/1000))
-	return errors.Join(err, g.ended)
+	return err
 }
 
 // forOthers is where other gateways reach this one; not valid where there are none.
@@ -309,6 +310,7 @@
 func (g *Gateway) end() error {
 	now := g.clock.now()
 	if g.closing && (g.clients.open.Len() == 0 && now >= g.empty+crossing || now >= g.last) {
+		g.stopped = true
 		return gneterrors.ErrEngineShutdown
 	}
 	return nil
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -1,13 +1,10 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
-	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -59,12 +56,13 @@
 	call    *call
 	no      uint64 // of a discovery connection: which of the call's
 	counted bool   // has a descriptor of the budget
+	opened  bool   // the loop has the connection
 }
 
 type ownerKind int
 
 const (
-	ownerStarter ownerKind = iota // brings the loop's handle, nothing else
+	ownerStarter ownerKind = iota // brings the loop's handle, and its close tells that the loop has ended
 	ownerClient
 	ownerMember
 	ownerDiscovery
@@ -141,7 +139,7 @@
 
 // turn tells the module what came and carries out its decisions until none is left.
 func (g *Gateway) turn() {
-	if g.turning || g.handling || g.loop == nil {
+	if g.turning || g.handling || g.loop == nil || g.stopped {
 		return
 	}
 	g.turning = true
@@ -307,80 +305,6 @@
 	}
 }
 
-// OnBoot keeps the engine.
-func (g *Gateway) OnBoot(e gnet.Engine) gnet.Action {
-	g.engine = e
-	return gnet.None
-}
-
-// OnTick comes first when the loop runs. There is no handle on it until a connection opens: one that goes
-// nowhere does that.
-func (g *Gateway) OnTick() (time.Duration, gnet.Action) {
-	c, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(g.config.Listen))
-	if err == nil {
-		err = g.enroll(c, &owner{kind: ownerStarter})
-	}
-	if err != nil {
-		g.ended = fmt.Errorf("no handle on the loop: %w", err)
-		return 0, gnet.Shutdown
-	}
-	return 1 << 62, gnet.None
-}
-
-// enroll hands a connection to the loop, which has a descriptor of its own for it.
-func (g *Gateway) enroll(c net.Conn, o *owner) error {
-	var opened <-chan gnet.RegisteredResult
-	var err error
-	if ctx := gnet.NewContext(context.Background(), o); g.loop != nil {
-		opened, err = g.loop.Enroll(ctx, c)
-	} else { // the engine would choose a loop, by a count that several dials would write to at once
-		opened, err = g.engine.Register(gnet.NewNetConnContext(ctx, c))
-	}
-	if err != nil {
-		_ = c.Close()
-		return err
-	}
-	return (<-opened).Err
-}
-
-// dial connects to an address off the loop and hands the connection, or what went wrong, to the loop. It has
-// two descriptors until then, its own and the loop's, and one afterwards, until OnClose; without them it does
-// nothing. Whoever gives it up before it has ended finds it closed by whom it would have been opened for.
-func (g *Gateway) dial(address string, patience decide.Nanos, o *owner) bool {
-	others := 0
-	if o.kind == ownerMember { // members never take what the calls to discovery need
-		others = 2 * len(g.discovery.calls)
-	}
-	if !g.budget.take(2, others) {
-		return false
-	}
-	o.counted = true
-	go func() {
-		d := net.Dialer{Timeout: time.Duration(patience), KeepAlive: -1}
-		c, err := d.Dial("tcp4", address)
-		if err == nil {
-			err = g.enroll(c, o)
-		}
-		if err != nil {
-			g.post(func() { g.dialFailed(o, errors.Is(err, syscall.ECONNRESET)) })
-		}
-	}()
-	return true
-}
-
-// dialFailed ends a dial. One that was accepted and then reset is no refusal: a process runs there.
-func (g *Gateway) dialFailed(o *owner, reset bool) {
-	g.budget.give(2)
-	if o.kind == ownerMember {
-		if m := g.members.conns.Get(o.ref); m != nil && reset {
-			m.phase = starting
-		}
-		g.members.memberClosed(o.ref, false)
-	} else {
-		g.discovery.discoveryClosed(o, nil, false)
-	}
-}
-
 // OnOpen gives a connection to whom it belongs.
 func (g *Gateway) OnOpen(c gnet.Conn) (out []byte, action gnet.Action) {
 	g.handle(func() { out, action = g.opened(c) })
@@ -388,11 +312,11 @@
 }
 
 func (g *Gateway) opened(c gnet.Conn) (out []byte, action gnet.Action) {
-	o, enrolled := c.Context().(*owner)
-	if !enrolled {
-		return g.clients.clientOpened(c)
-	}
+	o := c.Context().(*owner)
+	o.opened = true
 	switch o.kind {
+	case ownerClient:
+		return g.clients.clientOpened(c, o)
 	case ownerStarter:
 		g.loop = c.EventLoop()
 		close(g.started)
@@ -404,7 +328,8 @@
 			g.sessions.Started()
 		}
 		g.generations.start(g.config.Change)
-		return nil, gnet.Close
+		go g.acceptClients()
+		return nil, gnet.None
 	case ownerMember:
 		g.budget.give(1)
 		return g.members.memberOpened(c, o.ref)
@@ -460,6 +385,8 @@
 		g.budget.give(1)
 	}
 	switch o.kind {
+	case ownerStarter: // the loop closes it as its last act
+		close(g.loopEnded)
 	case ownerClient:
 		g.clients.clientClosed(o.ref, why)
 	case ownerMember:
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"strings"
 	"syscall"
 
@@ -54,10 +55,18 @@
 	clientsClosed map[closeReason]uint64
 	unanswered    map[closeReason]uint64 // requests whose connection ended before their answer
 	attempts      map[decide.Result]uint64
+	acceptErrors  map[string]uint64
+	dialErrors    map[string]uint64
 }
 
 func newOutcomes() outcomes {
-	return outcomes{map[closeReason]uint64{}, map[closeReason]uint64{}, map[decide.Result]uint64{}}
+	return outcomes{
+		clientsClosed: map[closeReason]uint64{},
+		unanswered:    map[closeReason]uint64{},
+		attempts:      map[decide.Result]uint64{},
+		acceptErrors:  map[string]uint64{},
+		dialErrors:    map[string]uint64{},
+	}
 }
 
 // Outcomes are counters by cause since the start of the process.
@@ -65,10 +74,18 @@
 	ClientsClosed map[string]uint64 // client connections, by the reason of their close
 	Unanswered    map[string]uint64 // requests that got no final answer, by the reason of their connection's close
 	Attempts      map[string]uint64 // attempts at members, by result
+	AcceptErrors  map[string]uint64 // failed accepts of client connections, by error
+	DialErrors    map[string]uint64 // failed connects to members and discovery, by error
 }
 
 func (o *outcomes) snapshot() Outcomes {
-	return Outcomes{labelled(o.clientsClosed), labelled(o.unanswered), byResult(o.attempts)}
+	return Outcomes{
+		ClientsClosed: labelled(o.clientsClosed),
+		Unanswered:    labelled(o.unanswered),
+		Attempts:      byResult(o.attempts),
+		AcceptErrors:  maps.Clone(o.acceptErrors),
+		DialErrors:    maps.Clone(o.dialErrors),
+	}
 }
 
 func labelled(counts map[closeReason]uint64) map[string]uint64 {
--- a/gateway/outcomes_test.go
+++ b/gateway/outcomes_test.go
@@ -18,7 +18,7 @@
 			return
 		}
 		if time.Now().After(end) {
-			t.Fatalf("counted %d, want %d", got, want)
+			t.Fatalf("counted %d, want %d; all: %+v", got, want, g.outcomes.snapshot())
 		}
 	}
 }
@@ -31,6 +31,7 @@
 	leaves, terminates, spoils := heldClient(t, g), heldClient(t, g), heldClient(t, g)
 	leaves.ask("any", 9000)
 	up := m.next(t)
+	defer up.Close()
 	up.startup()
 	up.ready()
 	up.query()
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -95,6 +95,10 @@
 		func(x *gateway.Outcomes) map[string]uint64 { return x.Unanswered })
 	byCause("attempts_total", "Attempts at members, by how they ended.", "result",
 		func(x *gateway.Outcomes) map[string]uint64 { return x.Attempts })
+	byCause("accept_errors_total", "Failed accepts of client connections, by error.", "error",
+		func(x *gateway.Outcomes) map[string]uint64 { return x.AcceptErrors })
+	byCause("dial_errors_total", "Failed connects to members and discovery, by error.", "error",
+		func(x *gateway.Outcomes) map[string]uint64 { return x.DialErrors })
 	return f
 }
 
