An error of connect that tells of this machine alone is no word on the member

Callers were declined (53300) and well members counted as suspect while socket or connect failed on the gateway's own machine for a moment: no descriptors, no buffers, no ports, no route. Cause: dialFailed told the module every error but a reset as Unreachable (loop.go, dialFailed), and a probe that was never sent as a refusal (decide.go, Probed: every result but Committed went to lost). Change: such errors are tried again within the dial's time, 1 to 20 ms later, and are logged and counted by name; if the time ends so, the attempt counts as not sent. ECONNREFUSED, ECONNRESET, EHOSTUNREACH and time-outs count as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -205,6 +205,7 @@
 	g.share(m)
 	if m.refusals+m.breaks > 0 && m.checkedAt > 0 {
 		switch m.checkedAt = 0; {
+		case r == Moot: // it was never sent
 		case up && m.refusals > 0:
 			g.crowds.add(g.now, fadeClass, 1)
 		case r == Broken || r == Reset:
--- a/gateway/dial.go
+++ b/gateway/dial.go
@@ -21,24 +21,61 @@
 	}
 	o.counted = true
 	go func() {
-		c, err := g.network.Dial(address, time.Duration(patience))
-		if err == nil {
-			err = g.enroll(c, o)
-		}
-		if err != nil {
+		if err := g.connect(address, time.Duration(patience), o); err != nil {
 			g.post(func() { g.dialFailed(o, err) })
 		}
 	}()
 	return true
 }
 
+// connect dials until the loop has the connection or the patience is over. An error of this machine says nothing of the
+// other side, so that it is tried again.
+func (g *Gateway) connect(address string, patience time.Duration, o *owner) error {
+	deadline := time.Now().Add(patience)
+	var pause backoff
+	for {
+		c, err := g.network.Dial(address, max(time.Until(deadline), time.Millisecond))
+		if err == nil {
+			err = g.enroll(c, o)
+		}
+		if err == nil || !isLocal(err) {
+			return err
+		}
+		wait := pause.next()
+		if time.Until(deadline) <= wait {
+			return err
+		}
+		g.post(func() { g.dialDelayed(o, err) })
+		time.Sleep(wait)
+	}
+}
+
+// dialDelayed notes an error of this machine behind which a dial is tried again.
+func (g *Gateway) dialDelayed(o *owner, err error) {
+	g.outcomes.dialErrors[errorLabel(err)]++
+	if !g.dialsFail {
+		g.dialsFail = true
+		g.log.Warn("connecting fails for lack of something of this machine, trying again", "why", err)
+	}
+	if m := g.members.conns.Get(o.ref); m != nil && o.kind == ownerMember {
+		m.delayed = true
+	}
+}
+
 // dialFailed ends a dial. One that was accepted and then reset is no refusal: a process runs there.
 func (g *Gateway) dialFailed(o *owner, err error) {
-	g.outcomes.dialErrors[errorLabel(err)]++
+	if isLocal(err) {
+		g.dialDelayed(o, err)
+	} else {
+		g.outcomes.dialErrors[errorLabel(err)]++
+	}
 	g.budget.give(2)
 	if o.kind == ownerMember {
-		if m := g.members.conns.Get(o.ref); m != nil && errors.Is(err, syscall.ECONNRESET) {
-			m.phase = starting
+		if m := g.members.conns.Get(o.ref); m != nil && isReply(err) {
+			m.delayed = false
+			if errors.Is(err, syscall.ECONNRESET) {
+				m.phase = starting
+			}
 		}
 		g.members.memberClosed(o.ref, false)
 	} else {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,7 @@
 	loop      gnet.EventLoop
 
 	inputs    []input
+	dialsFail bool // for lack of something of this machine
 	handling  bool // an event, within which others may come
 	turning   bool
 	turnAt    decide.Nanos // the module's time
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -314,6 +314,10 @@
 func (g *Gateway) opened(c gnet.Conn) (out []byte, action gnet.Action) {
 	o := c.Context().(*owner)
 	o.opened = true
+	if o.counted && g.dialsFail {
+		g.dialsFail = false
+		g.log.Info("connecting works again")
+	}
 	switch o.kind {
 	case ownerClient:
 		return g.clients.clientOpened(c, o)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -59,6 +59,7 @@
 	held      int          // bytes in the buffer, of an answer that is not whole
 	sent      bool         // the query was written, though some of it may wait in the outbound buffer
 	abandoned bool         // given up while it was dialled: closed as soon as it comes up
+	delayed   bool         // its dial met an error of this machine, which says nothing of the member
 	barred    bool         // its member was told to drain or to be gone since it was begun: nothing more is sent on it
 	since     decide.Nanos
 	connect   *deadlines.Entry[due]
@@ -267,7 +268,9 @@
 			ms.finish(ref, resultOf(m.answer.problem.Code), true) // after which no ReadyForQuery is due
 		case m.sent && flushed:
 			ms.finish(ref, decide.Broken, false)
-		case m.phase == dialling || m.answer.problem.Code == "53300": // it has no connection to give
+		case m.phase == dialling:
+			ms.finish(ref, m.notConnected(), false)
+		case m.answer.problem.Code == "53300": // it has no connection to give
 			ms.finish(ref, decide.Unreachable, false)
 		default:
 			ms.finish(ref, decide.Reset, false)
@@ -305,6 +308,14 @@
 	}
 }
 
+// notConnected is the result of a job whose connection did not come up.
+func (m *memberConn) notConnected() decide.Result {
+	if m.phase == dialling && m.delayed {
+		return decide.Moot
+	}
+	return decide.Unreachable
+}
+
 // connectTimedOut ends a connection that did not come up. A dial is left to end by itself, as it holds its
 // descriptors until then.
 func (ms *members) connectTimedOut(ref slots.Ref) {
@@ -313,7 +324,7 @@
 		return
 	}
 	if m.working {
-		ms.finish(ref, decide.Unreachable, false)
+		ms.finish(ref, m.notConnected(), false)
 	}
 	if m.phase == dialling {
 		m.abandoned = true
--- a/gateway/network.go
+++ b/gateway/network.go
@@ -67,6 +67,11 @@
 	return false
 }
 
+// isReply tells whether an error of connect is the other side's own word.
+func isReply(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // errorLabel is an error's label in metrics: the name of its number where it has one.
 func errorLabel(err error) string {
 	var number syscall.Errno
--- /dev/null
+++ b/gateway/network_test.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// faultyNetwork is the operating system's, whose calls fail with an error while it is set.
+type faultyNetwork struct {
+	SystemNetwork
+	dialError atomic.Pointer[syscall.Errno]
+	failures  atomic.Int64
+}
+
+func (n *faultyNetwork) Dial(address string, timeout time.Duration) (net.Conn, error) {
+	if number := n.dialError.Load(); number != nil {
+		n.failures.Add(1)
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: *number}
+	}
+	return n.SystemNetwork.Dial(address, timeout)
+}
+
+// logBuffer keeps what is logged.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// TestDialErrorOfThisMachineIsNoWordOnTheMember guards against well members that count as suspect, and requests that are
+// declined, as socket or connect fail on this machine for a moment.
+func TestDialErrorOfThisMachineIsNoWordOnTheMember(t *testing.T) {
+	t.Parallel()
+	for _, number := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL,
+		syscall.ENETUNREACH, syscall.EAGAIN, syscall.EPERM, syscall.EINTR} {
+		network, logged := new(faultyNetwork), new(logBuffer)
+		d, m := newScript(t), newScript(t)
+		g, ended, stop := heldGatewayWith(t, func(c *Config) {
+			c.Network, c.Log = network, slog.New(slog.NewTextHandler(logged, nil))
+			c.Settings = json.RawMessage(strings.Replace(heldSettings, `"probes":false`, `"probes":true`, 1))
+		}, d, m.host("m", "active"))
+		served := m.serve("m", "read-only")
+		network.dialError.Store(&number)
+		c := heldClient(t, g)
+		c.ask("any", 9000)
+		answer := make(chan string, 1)
+		go func() { answer <- c.answer() }()
+		for end := time.Now().Add(soonHeld); network.failures.Load() < 5 && len(answer) == 0 && time.Now().Before(end); {
+			g.hold(func() {})
+		}
+		network.dialError.Store(nil)
+		if got := <-answer; got != "served by m" || served.Load() != 1 {
+			t.Errorf("%v: the request is told %s", number, got)
+		}
+		if strings.Contains(logged.String(), "suspect") {
+			t.Errorf("%v: the member counts as suspect", number)
+		}
+		var failures uint64
+		g.hold(func() { failures = g.outcomes.snapshot().DialErrors[errorLabel(number)] })
+		if failures == 0 {
+			t.Errorf("%v: not counted", number)
+		}
+		stop()
+		<-ended
+	}
+}
