A second SIGTERM does not cut off the end in order

Callers whose requests were open lost them when SIGTERM came twice: the second one ended the process at once. Cause: cli.go gave SIGTERM back to its default action once the first had come (context.AfterFunc(ctx, stop)), which the README promised. Change: the signal stays with the program, which passes further ones over; only a second SIGINT ends it at once.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -82,8 +82,10 @@
 func (s *serve) Run() error {
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
+	// Further SIGTERMs change nothing: what was taken is owed its answer. A second interrupt, from a terminal, ends it at once.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	context.AfterFunc(ctx, stop) // a second signal ends it at once
+	defer stop()
+	context.AfterFunc(ctx, func() { signal.Reset(os.Interrupt) })
 	c, err := gateway.FromEnvironment()
 	if err != nil {
 		return err
