A log that nobody reads does not end the process

Callers would lose all open requests when the reader of standard error ends: the next log line ended the process by SIGPIPE. Cause: Go gives a broken pipe on descriptors 1 and 2 to the signal's default action, and cli.go did not say otherwise. Evidence: TestRequestsSurviveLostLogReader starts the program with such a pipe: it never came to ask discovery; it passes now. Found by looking for ways in which an error of one call ends the whole process.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -82,6 +82,7 @@
 func (s *serve) Run() error {
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads is no reason to end
 	// Further SIGTERMs change nothing: what was taken is owed its answer. A second interrupt, from a terminal, ends it at once.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/gateway/signals_test.go
+++ b/gateway/signals_test.go
@@ -1,6 +1,9 @@
 package gateway_test
 
 import (
+	"os"
+	"os/exec"
+	"strings"
 	"syscall"
 	"testing"
 )
@@ -25,3 +28,33 @@
 	}
 	w.exited <- err
 }
+
+// TestRequestsSurviveLostLogReader guards against a process that SIGPIPE ends when nobody reads its log any more.
+func TestRequestsSurviveLostLogReader(t *testing.T) {
+	w := start(256, newMember("m", "read-write"))
+	defer w.stop()
+	must(w.process.Process.Kill())
+	<-w.exited
+	reader, writer, err := os.Pipe()
+	must(err)
+	must(reader.Close())
+	w.process = exec.Command(program)
+	w.process.Env = append(os.Environ(), "EDGE_CONFIG="+w.config, "EDGE_DISCOVERY="+w.d.l.Addr().String())
+	w.process.Stderr = writer
+	must(w.process.Start())
+	must(writer.Close())
+	go func() { w.exited <- w.process.Wait() }()
+	asked := await(w.d.asked) // it has logged that it listens
+	for asked.Get("after") == "" {
+		asked = await(w.d.asked)
+	}
+	if got := ask(w.connect(), sql("any", "")); !strings.HasPrefix(got, "committed") {
+		t.Error(got)
+	}
+	must(w.process.Process.Signal(syscall.SIGTERM))
+	err = await(w.exited)
+	if err != nil {
+		t.Error(err)
+	}
+	w.exited <- err
+}
