Errors of sockets are told apart in a package of their own

internal/neterr has what gateway/network.go had: which errors tell of this machine alone, their labels, pauses and retries. The control socket and the address for other gateways need the same.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net"
 	"time"
+
+	"magpieglade/internal/neterr"
 )
 
 // acceptor takes client connections from a listener and hands them to the event loop, one at a time. An error of accept ends
@@ -17,7 +19,7 @@
 
 // run accepts until the listener is closed.
 func (a *acceptor) run() {
-	var pause backoff
+	var pause neterr.Backoff
 	failures, since := 0, time.Time{}
 	for {
 		c, err := a.listener.Accept()
@@ -33,11 +35,11 @@
 			}
 			failures++
 			a.noteFail(err, failures == 1)
-			time.Sleep(pause.next())
+			time.Sleep(pause.Next())
 		case failures > 0:
 			a.noteGood(failures, time.Since(since))
 			failures = 0
-			pause.reset()
+			pause.Reset()
 		}
 	}
 }
@@ -48,7 +50,7 @@
 		listener: g.listener,
 		enroll:   func(c net.Conn) error { return g.enroll(c, &owner{kind: ownerClient}) },
 		noteFail: func(err error, first bool) {
-			g.post(func() { g.outcomes.acceptErrors[errorLabel(err)]++ })
+			g.post(func() { g.outcomes.acceptErrors[neterr.Label(err)]++ })
 			if first {
 				g.log.Warn("accepting clients fails, trying again", "why", err)
 			}
--- a/gateway/dial.go
+++ b/gateway/dial.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"magpieglade/decide"
+	"magpieglade/internal/neterr"
 )
 
 // dial connects to an address off the loop and hands the connection, or what went wrong, to the loop. It has
@@ -32,16 +33,16 @@
 // other side, so that it is tried again.
 func (g *Gateway) connect(address string, patience time.Duration, o *owner) error {
 	deadline := time.Now().Add(patience)
-	var pause backoff
+	var pause neterr.Backoff
 	for {
 		c, err := g.network.Dial(address, max(time.Until(deadline), time.Millisecond))
 		if err == nil {
 			err = g.enroll(c, o)
 		}
-		if err == nil || !isLocal(err) {
+		if err == nil || !neterr.IsLocal(err) {
 			return err
 		}
-		wait := pause.next()
+		wait := pause.Next()
 		if time.Until(deadline) <= wait {
 			return err
 		}
@@ -52,7 +53,7 @@
 
 // dialDelayed notes an error of this machine behind which a dial is tried again.
 func (g *Gateway) dialDelayed(o *owner, err error) {
-	g.outcomes.dialErrors[errorLabel(err)]++
+	g.outcomes.dialErrors[neterr.Label(err)]++
 	if !g.dialsFail {
 		g.dialsFail = true
 		g.log.Warn("connecting fails for lack of something of this machine, trying again", "why", err)
@@ -64,14 +65,14 @@
 
 // dialFailed ends a dial. One that was accepted and then reset is no refusal: a process runs there.
 func (g *Gateway) dialFailed(o *owner, err error) {
-	if isLocal(err) {
+	if neterr.IsLocal(err) {
 		g.dialDelayed(o, err)
 	} else {
-		g.outcomes.dialErrors[errorLabel(err)]++
+		g.outcomes.dialErrors[neterr.Label(err)]++
 	}
 	g.budget.give(2)
 	if o.kind == ownerMember {
-		if m := g.members.conns.Get(o.ref); m != nil && isReply(err) {
+		if m := g.members.conns.Get(o.ref); m != nil && neterr.IsReply(err) {
 			m.delayed = false
 			if errors.Is(err, syscall.ECONNRESET) {
 				m.phase = starting
--- a/gateway/eventloop.go
+++ b/gateway/eventloop.go
@@ -7,12 +7,14 @@
 	"net"
 
 	"github.com/panjf2000/gnet/v2"
+
+	"magpieglade/internal/neterr"
 )
 
 // serve runs the event loop until its end. The loop has no listener of the library's: that would end it with the first error
 // of accept that the library does not know.
 func (g *Gateway) serve() error {
-	err := retryLocal(startPatience, func() (err error) {
+	err := neterr.Retry(startPatience, func() (err error) {
 		g.listener, err = g.network.Listen(g.config.Listen)
 		return err
 	})
@@ -24,10 +26,10 @@
 	if err != nil {
 		return err
 	}
-	if err := retryLocal(startPatience, loop.Start); err != nil {
+	if err := neterr.Retry(startPatience, loop.Start); err != nil {
 		return fmt.Errorf("the event loop does not start: %w", err)
 	}
-	if err := retryLocal(startPatience, func() error { return g.openLoop(loop) }); err != nil {
+	if err := neterr.Retry(startPatience, func() error { return g.openLoop(loop) }); err != nil {
 		return errors.Join(fmt.Errorf("no handle on the event loop: %w", err), loop.Stop())
 	}
 	<-g.loopEnded
@@ -53,7 +55,7 @@
 		return err
 	}
 	if !o.opened {
-		return errNotRegistered
+		return neterr.ErrNotRegistered
 	}
 	return nil
 }
@@ -69,7 +71,7 @@
 	select {
 	case result := <-opened:
 		if result.Err == nil && !o.opened {
-			return errNotRegistered
+			return neterr.ErrNotRegistered
 		}
 		return result.Err
 	case <-g.loopEnded:
--- a/gateway/network_test.go
+++ b/gateway/network_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"magpieglade/internal/neterr"
 )
 
 // faultyNetwork is the operating system's, whose calls fail with an error while it is set.
@@ -75,7 +77,7 @@
 			t.Errorf("%v: the member counts as suspect", number)
 		}
 		var failures uint64
-		g.hold(func() { failures = g.outcomes.snapshot().DialErrors[errorLabel(number)] })
+		g.hold(func() { failures = g.outcomes.snapshot().DialErrors[neterr.Label(number)] })
 		if failures == 0 {
 			t.Errorf("%v: not counted", number)
 		}
