A failed accept does not end the control socket

Operators could not reach a gateway any more once accept on its control socket had failed with ENOBUFS or ENOMEM: http.Server.Serve returns on what net does not call temporary, and nobody looked at that. Evidence: TestControlSurvivesFailedAccept failed with 'no buffer space available' and passes now.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,6 +18,7 @@
 	"magpieglade/contracts"
 	"magpieglade/fleet"
 	"magpieglade/gateway"
+	"magpieglade/internal/neterr"
 	"magpieglade/internal/operator"
 	"magpieglade/rollout"
 )
@@ -84,15 +85,21 @@
 	free chan struct{}
 }
 
-// Accept waits for one that may come.
+// Accept waits for one that may come. It fails once the listener is closed; other errors of accept pass.
 func (f *few) Accept() (net.Conn, error) {
 	f.free <- struct{}{}
-	c, err := f.Listener.Accept()
-	if err != nil {
-		<-f.free
-		return nil, err
+	var pause neterr.Backoff
+	for {
+		c, err := f.Listener.Accept()
+		if err == nil {
+			return &one{Conn: c, f: f}, nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			<-f.free
+			return nil, err
+		}
+		time.Sleep(pause.Next())
 	}
-	return &one{Conn: c, f: f}, nil
 }
 
 type one struct {
