A failed read does not end the address for other gateways

A gateway whose one read of datagrams failed never heard another gateway again: its lease ran out and it declined what routes rule. Cause: Datagrams.Receive returned on any error. Now it does so on the close of the address alone, and pauses behind others. Evidence: TestDatagramsSurviveFailedRead failed with 'it reads no more' and passes now.

--- a/fleet/datagrams.go
+++ b/fleet/datagrams.go
@@ -1,11 +1,16 @@
 package fleet
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"golang.org/x/sys/unix"
+
+	"magpieglade/internal/neterr"
 )
 
 // mostWaiting is how many datagrams wait for the loop at the most, and mostDatagram how long each may be.
@@ -21,10 +26,11 @@
 	raw  interface {
 		Write(func(uintptr) bool) error
 	}
-	mu    sync.Mutex
-	came  []Datagram
-	spare [][]byte
-	over  uint64 // that came while too many waited
+	failures atomic.Uint64 // reads
+	mu       sync.Mutex
+	came     []Datagram
+	spare    [][]byte
+	over     uint64 // that came while too many waited
 }
 
 // Datagram is one, and where it came from.
@@ -47,14 +53,21 @@
 	return &Datagrams{conn: conn, raw: raw}, nil
 }
 
-// Receive reads until the address is given back. arrived is called when the first of what waits has come.
+// Receive reads until the address is given back, whatever single reads come to. arrived is called when the first of what waits has come.
 func (d *Datagrams) Receive(arrived func()) {
 	buf := make([]byte, mostDatagram)
+	var pause neterr.Backoff
 	for {
 		n, from, err := d.conn.ReadFromUDPAddrPort(buf)
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			d.failures.Add(1)
+			time.Sleep(pause.Next())
+			continue
+		}
+		pause.Reset()
 		d.mu.Lock()
 		first := len(d.came) == 0
 		if len(d.came) < mostWaiting {
