A reload whose file can't be opened for a moment is not lost

A gateway went on asking the former discovery, and so missed drains, when SIGHUP came while open failed: it said 'not reloaded' and waited for the next signal. The same error at the start ended it. Cause: FromFile and FromEnvironment read the file once (config.go). Evidence: with descriptors refused by prlimit TestReloadSurvivesFailedRead waited in vain for the new discovery to be asked; it passes now.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -13,6 +13,7 @@
 
 	"magpieglade/fleet"
 	"magpieglade/internal/httpwire"
+	"magpieglade/internal/neterr"
 	"magpieglade/routes"
 )
 
@@ -56,7 +57,7 @@
 	if path == "" {
 		return c, errors.New("EDGE_CONFIG is not set")
 	}
-	text, err := os.ReadFile(path)
+	text, err := readFile(path)
 	if err != nil {
 		return c, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
@@ -80,6 +81,20 @@
 	return c, nil
 }
 
+// readFile reads a whole file, again while that fails for want of something of this machine.
+func readFile(path string) (text []byte, err error) {
+	failed := false
+	err = neterr.Retry(startPatience, func() (err error) {
+		text, err = os.ReadFile(path)
+		if err != nil && neterr.IsLocal(err) && !failed {
+			failed = true
+			slog.Warn("the configuration can't be read, trying again", "why", err)
+		}
+		return err
+	})
+	return text, err
+}
+
 // names is what the sockets need of the settings: names that stand for the module's numbers.
 type names struct {
 	Classes []struct {
--- a/gateway/signals_test.go
+++ b/gateway/signals_test.go
@@ -58,3 +58,17 @@
 	}
 	w.exited <- err
 }
+
+// TestReloadSurvivesFailedRead guards against a reload that is dropped as the file could not be opened for a moment.
+func TestReloadSurvivesFailedRead(t *testing.T) {
+	w := start(256, newMember("m", "read-write"))
+	defer w.stop()
+	next := newDiscovery()
+	defer next.l.Close()
+	w.configure(next, 256)
+	restore := w.limitDescriptors(t, 1)
+	must(w.process.Process.Signal(syscall.SIGHUP))
+	w.logged("config.json: too many open files")
+	restore()
+	await(next.asked)
+}
--- a/internal/neterr/neterr.go
+++ b/internal/neterr/neterr.go
@@ -1,4 +1,4 @@
-// Package neterr tells what errors of sockets say, and paces what is tried again behind them.
+// Package neterr tells what errors of system calls say of this machine and of others, and paces what is tried again.
 package neterr
 
 import (
@@ -13,15 +13,15 @@
 // ErrNotRegistered is that the kernel did not take a connection into the loop's epoll set.
 var ErrNotRegistered = errors.New("the event loop could not register the connection")
 
-// localErrors are errors of socket, bind, connect, dup and epoll_ctl that tell of this machine alone: it lacks descriptors,
-// memory, ports or a route, or forbids the call. They may pass at any moment.
+// localErrors are errors of socket, bind, connect, dup, epoll_ctl, open and read that tell of this machine alone: it lacks
+// descriptors, memory, ports or a route, its disk fails, or it forbids the call. They may pass at any moment.
 var localErrors = []error{
 	ErrNotRegistered,
 	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ENOSPC,
 	syscall.EADDRNOTAVAIL, syscall.EADDRINUSE, syscall.EAGAIN,
 	syscall.ENETUNREACH, syscall.ENETDOWN,
 	syscall.EPERM, syscall.EACCES,
-	syscall.EINTR,
+	syscall.EINTR, syscall.EIO,
 }
 
 // IsLocal tells whether an error says nothing of the other side of a connection.
