The address for other gateways is tried again at the start; a look at a socket outlasts EINTR

A start failed at once when the address for other gateways could not be had for a moment; it is tried again for 5 s like the listener. sendAway and hasUnread each looked at what waits on a socket; the one function that does it now repeats the call on EINTR, which sendAway would have taken for an empty socket and closed over a request. By reading: Linux gives no EINTR to a call that does not wait, so that no test causes it.

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -222,8 +222,7 @@
 // served first. It closes at once: what the loop would still read before a close that is only posted would
 // look taken to the client, and never be answered.
 func (cs *clients) sendAway(c *client, reason closeReason) {
-	var one [1]byte
-	n, _, err := unix.Recvfrom(c.conn.Fd(), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	n, err := peek(c.conn.Fd())
 	if err == nil && n > 0 || c.conn.InboundBuffered() > 0 {
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"magpieglade/decide"
 	"magpieglade/fleet"
 	"magpieglade/internal/deadlines"
+	"magpieglade/internal/neterr"
 	"magpieglade/internal/peerwire"
 	"magpieglade/internal/slots"
 	"magpieglade/routes"
@@ -136,8 +137,11 @@
 // that a txn type allows at most.
 func (g *Gateway) Run(ctx context.Context) error {
 	if at := g.forOthers(); at.IsValid() {
-		var err error
-		if g.link, err = fleet.Listen(at); err != nil {
+		err := neterr.Retry(startPatience, func() (err error) {
+			g.link, err = fleet.Listen(at)
+			return err
+		})
+		if err != nil {
 			return fmt.Errorf("the address for other gateways: %w", err)
 		}
 		defer g.link.Close()
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -406,11 +406,21 @@
 
 // hasUnread tells whether something waits on a socket that the loop has not read, be it its end.
 func hasUnread(fd int) bool {
-	var one [1]byte
-	_, _, err := unix.Recvfrom(fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	_, err := peek(fd)
 	return err != unix.EAGAIN
 }
 
+// peek looks at what waits on a socket that the loop has not read: 0 bytes without an error is its end.
+func peek(fd int) (n int, err error) {
+	var one [1]byte
+	for {
+		n, _, err = unix.Recvfrom(fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		if err != unix.EINTR {
+			return n, err
+		}
+	}
+}
+
 // gnetLog passes what gnet logs to slog; it is chatty below warnings.
 type gnetLog struct{ to *slog.Logger }
 
