--- /dev/null
+++ b/gateway/soak/servers_test.go
@@ -0,0 +1,271 @@
+package soak
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// attempt is a statement that came to a server.
+type attempt struct {
+	server   string
+	class    string
+	at       time.Time
+	deadline time.Duration // that the gateway passed on
+}
+
+// records keep what servers saw, by request.
+type records struct {
+	mu       sync.Mutex
+	attempts map[uint64][]attempt
+}
+
+func (r *records) add(id uint64, a attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attempts[id] = append(r.attempts[id], a)
+}
+
+// server is a database server that answers with the request's id, and sometimes not as it should.
+type server struct {
+	name, mode string
+	listener   net.Listener
+	records    *records
+	mu         sync.Mutex
+	random     *rand.Rand
+	hangs      time.Time // until when it answers nothing
+	conns      map[net.Conn]bool
+}
+
+func newServer(name, mode string, r *records, random *rand.Rand) (*server, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &server{name: name, mode: mode, listener: l, records: r, random: random, conns: map[net.Conn]bool{}}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns[c] = true
+			s.mu.Unlock()
+			go s.serve(c)
+		}
+	}()
+	return s, nil
+}
+
+func (s *server) close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+// hang answers nothing for a while.
+func (s *server) hang(span time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hangs = time.Now().Add(span)
+}
+
+// behaviour is how a server deals with a statement.
+type behaviour int
+
+const (
+	answers behaviour = iota
+	fallsSilent
+	resets
+	halfAnswer
+	tellsError
+)
+
+func (s *server) next() (b behaviour, wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wait = time.Duration(s.random.ExpFloat64() * float64(5*time.Millisecond))
+	if hang := time.Until(s.hangs); hang > 0 {
+		wait += hang
+	}
+	switch n := s.random.IntN(100); {
+	case n < 2:
+		return fallsSilent, wait
+	case n < 4:
+		return resets, wait
+	case n < 6:
+		return halfAnswer, wait
+	case n < 8:
+		return tellsError, wait
+	}
+	return answers, wait
+}
+
+func message(kind byte, body string) string {
+	return string(binary.BigEndian.AppendUint32([]byte{kind}, uint32(len(body)+4))) + body
+}
+
+var comment = regexp.MustCompile(`id=([0-9a-f]{16}),c=([a-z]+),d=(\d+)`)
+
+func (s *server) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	var size [4]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return
+	}
+	if _, err := r.Discard(int(binary.BigEndian.Uint32(size[:])) - 4); err != nil {
+		return
+	}
+	_, _ = io.WriteString(c, message('R', "\x00\x00\x00\x00")+message('Z', "I"))
+	for {
+		kind, body, err := readMessage(r)
+		if err != nil || kind != 'Q' {
+			return
+		}
+		value := "probe"
+		found := comment.FindStringSubmatch(string(body))
+		if found != nil {
+			value = found[1]
+			id, _ := strconv.ParseUint(found[1], 16, 64)
+			left, _ := strconv.Atoi(found[3])
+			s.records.add(id, attempt{s.name, found[2], time.Now(), time.Duration(left) * time.Millisecond})
+		}
+		b, wait := s.next()
+		if found == nil {
+			b = answers
+		}
+		time.Sleep(wait)
+		if !s.reply(c, r, b, value) {
+			return
+		}
+	}
+}
+
+// reply answers a statement; false is the end of the connection.
+func (s *server) reply(c net.Conn, r *bufio.Reader, b behaviour, value string) bool {
+	end := message('S', "mode\x00"+s.mode+"\x00") + message('S', fmt.Sprintf("wal_time\x00%d\x00", time.Now().UnixMilli())) + message('Z', "I")
+	row := message('T', "\x00\x01data\x00"+strings.Repeat("\x00", 18)) +
+		message('D', "\x00\x01"+string(binary.BigEndian.AppendUint32(nil, uint32(len(value))))+value)
+	switch b {
+	case fallsSilent:
+		_, _ = r.ReadByte()
+		return false
+	case resets:
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	case halfAnswer:
+		_, _ = io.WriteString(c, row[:len(row)-1])
+		return false
+	case tellsError:
+		_, _ = io.WriteString(c, message('E', "SERROR\x00CXX000\x00Mfault\x00\x00")+end)
+		return true
+	}
+	_, _ = io.WriteString(c, row+message('C', "SELECT 1\x00")+end)
+	return true
+}
+
+func readMessage(r *bufio.Reader) (kind byte, body []byte, err error) {
+	var head [5]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return 0, nil, err
+	}
+	body = make([]byte, binary.BigEndian.Uint32(head[1:])-4)
+	_, err = io.ReadFull(r, body)
+	return head[0], body, err
+}
+
+// discovery is the list service, at two addresses.
+type discovery struct {
+	listeners [2]net.Listener
+	mu        sync.Mutex
+	version   int
+	hosts     []map[string]any
+	changed   chan struct{}
+	down      bool
+	leftAt    time.Time // when a list with a draining server was first written
+}
+
+func newDiscovery() (*discovery, error) {
+	d := &discovery{changed: make(chan struct{})}
+	for i := range d.listeners {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		d.listeners[i] = l
+		go func() { _ = http.Serve(l, d) }()
+	}
+	return d, nil
+}
+
+func (d *discovery) close() {
+	for _, l := range d.listeners {
+		_ = l.Close()
+	}
+}
+
+func (s *server) host(health string) map[string]any {
+	return map[string]any{"host": s.name, "dial": s.listener.Addr().String(), "site": "a", "class": "m", "block": 0,
+		"health": health, "share": 1.0, "born_ms": 0}
+}
+
+func (d *discovery) set(hosts ...map[string]any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.version++
+	d.hosts = hosts
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+func (d *discovery) setDown(down bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = down
+}
+
+func (d *discovery) list() map[string]any {
+	return map[string]any{"seq": d.version, "whole": true, "hosts": d.hosts}
+}
+
+// ServeHTTP answers a call, or a watch once there is something new.
+func (d *discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if wait, _ := strconv.Atoi(q.Get("wait_ms")); wait > 0 && q.Get("after") == strconv.Itoa(d.version) && !d.down {
+		changed := d.changed
+		d.mu.Unlock()
+		select {
+		case <-changed:
+		case <-time.After(time.Duration(wait) * time.Millisecond):
+		case <-r.Context().Done():
+		}
+		d.mu.Lock()
+	}
+	if d.down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(d.list())
+	for _, h := range d.hosts {
+		if h["health"] == "leaving" && d.leftAt.IsZero() {
+			d.leftAt = time.Now()
+		}
+	}
+}
