A gateway that was told to end is gone before the platform may kill it

Callers that kept asking lost what the gateway had read in the moment of its SIGKILL: it accepted and read up to 0.5 s past the earliest kill (gateway.go, lastMargin), as long as any client had a connection. Change: 150 ms before the earliest kill, when all that was taken has its answer, the listener is closed and idle clients are sent away; 80 ms later the loop ends. What comes in between is answered at once, as its time is up.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -265,8 +265,8 @@
 	// The platform kills no sooner than the longest time of a txn type after that, or this where it is longer.
 	longestKill = 3000 * decide.Millisecond
 	killMargin  = 150 * decide.Millisecond // by which all have their answers before it may
+	lastMargin  = 80 * decide.Millisecond  // from then on for answers to be read, well before it may
 	crossing    = 100 * decide.Millisecond // for who was sent away while it asked, to connect and ask again
-	lastMargin  = 500 * decide.Millisecond
 )
 
 // leave begins an orderly end: what comes is served as before for a moment.
@@ -279,12 +279,13 @@
 	for _, c := range g.names.Classes {
 		longest = max(longest, c.HardLimit)
 	}
-	g.last = g.clock.now() + lateComers + decide.Millis(longest) + lastMargin
 	g.kill = g.clock.now() + lateComers + min(decide.Millis(longest), longestKill) - killMargin
+	g.last = g.kill + lastMargin
 	for _, id := range slices.Sorted(maps.Keys(g.byID)) {
 		g.module.EndsBy(id, g.kill)
 	}
 	g.deadlines.Add(int64(g.clock.now()+lateComers), due{kind: dueClosing})
+	g.deadlines.Add(int64(g.kill), due{kind: dueFinal})
 	g.deadlines.Add(int64(g.last), due{kind: dueLast})
 	g.log.Info("leaving", "clients", g.clients.open.Len(), "txns", g.txns.Len())
 }
@@ -303,6 +304,12 @@
 	g.emptied()
 }
 
+// closeListener is the third: what comes from now on could be read and not be answered any more.
+func (g *Gateway) closeListener() {
+	_ = g.listener.Close()
+	g.closeIdleClients()
+}
+
 // emptied sets the end when the last client is gone.
 func (g *Gateway) emptied() {
 	if g.closing && g.clients.open.Len() == 0 {
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -87,6 +87,7 @@
 	dueReadable
 	dueAnswer
 	dueClosing
+	dueFinal
 	dueLast
 	dueList
 )
@@ -301,6 +302,8 @@
 			g.coordinated.asks()
 		case dueClosing:
 			g.closeIdleClients()
+		case dueFinal:
+			g.closeListener()
 		}
 	}
 }
