--- a/gateway/soak/clients_test.go
+++ b/gateway/soak/clients_test.go
@@ -74,6 +74,8 @@
 	key string // of a cancel request
 }
 
+var errTurnedAway = errors.New("turned away")
+
 // connect opens a connection. It fails where the gateway is not there or turns it away.
 func (l *load) connect() (*connection, error) {
 	raw, err := net.DialTimeout("tcp4", l.address, time.Second)
@@ -96,7 +98,7 @@
 			c.key = string(body)
 		case kind == 'E':
 			_ = c.Close()
-			return nil, errors.New("turned away")
+			return nil, errTurnedAway
 		case kind == 'Z':
 			return c, nil
 		}
--- a/gateway/soak/soak_test.go
+++ b/gateway/soak/soak_test.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -126,6 +127,7 @@
 	}()
 	p.startClients()
 	p.faultsUntil(time.Now().Add(beforeSIGTERM))
+	p.hearsNewClient()
 	p.end()
 	p.judge()
 }
@@ -249,6 +251,21 @@
 	}
 }
 
+// hearsNewClient has a client that was never there before admitted, or told that there is no room for it: faults of accept
+// last for a moment only.
+func (p *play) hearsNewClient() {
+	for end := time.Now().Add(longest); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		c, err := p.load.connect()
+		if err == nil {
+			_ = c.Close()
+		}
+		if err == nil || errors.Is(err, errTurnedAway) {
+			return
+		}
+	}
+	p.t.Error("no new client is heard")
+}
+
 // refuseDescriptors has the kernel refuse the process any new descriptor for a while.
 func (p *play) refuseDescriptors(span time.Duration) {
 	var former unix.Rlimit
