--- a/gateway/soak/soak_test.go
+++ b/gateway/soak/soak_test.go
@@ -28,7 +28,7 @@
 // envSeeds names the seeds to play, as 1-50.
 const envSeeds = "MAGPIEGLADE_SOAK_SEEDS"
 
-const usualSeeds = "1-12"
+const usualSeeds = "1-36"
 
 const settings = `{"classes":[
  {"effect":"repeatable","promiseMs":300,"hardLimitMs":1000,"worth":1,"name":"any"},
