A session's write counts however its answer ended, and whether or not its client stayed

Callers saw: a session's read, where gateways remember marks and members check nothing, from before the session's own write. Cause: SubmissionEnded recorded a commit only while its txn was open (decide.go, 'if !t.done', learnPosition), and only with a position. A client that left, an answer that broke off, timed out or was given up, a commit without a position or ahead of the clock, and a write in flight whose answer is written but unread left no mark. Change: decide/freshness.go holds what a read must see; an ended write without a known commit counts as committed by now, one in flight as committed 50 ms ago (an answer that was written counts as known after 100 ms). Nothing of this where members check reads.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -124,8 +124,8 @@
 	case "causal":
 		if writeAge != 0 { // below 0 if the group's clock is ahead of this one
 			t.token = g.now - writeAge
-		} else if at := t.group.tokens[session]; at > t.group.minReplicaPosition() {
-			t.token = at
+		} else if g.remembersWrites() {
+			t.token = t.group.sessionPosition(session, g.now, g.checksReads())
 		}
 	case "strong":
 		t.token = g.now
@@ -156,6 +156,7 @@
 	}
 	s, m := &t.submissions[attempt], t.submissions[attempt].member // the list may have removed the member since
 	g.submissionClosed(t, s, r)
+	g.writeEnded(t, r, position)
 	g.recordAnswer(m, role, position)
 	g.recordReport(m, report)
 	if role == RolePrimary && g.settings.Replication.WhenBehind != "none" {
@@ -169,7 +170,7 @@
 			if g.now <= t.slaDeadline {
 				g.stats[t.class].onTime.add(g.now, classDecay, 1)
 			}
-			g.learnPosition(t, s, m, position)
+			g.learnPosition(t, s, m)
 			delete(g.unserved, sessionClass{t.session, t.class})
 		}
 		t.done = true
@@ -325,26 +326,6 @@
 	}
 }
 
-// learnPosition records what a committed txn proves: a write proves its commit position, a checked read its
-// token or staleness bound.
-func (g *Gateway) learnPosition(t *txn, s *submission, m *member, position Nanos) {
-	switch g.settings.Replication.Consistency[t.class] {
-	case "mutate":
-		if position > 0 && t.session != 0 && g.settings.Replication.WriteMarks == "kept" {
-			t.group.tokens[t.session] = max(t.group.tokens[t.session], g.settings.Replication.PositionEpoch+position)
-		}
-	case "lag_bound":
-		if g.settings.Replication.WhenBehind != "none" {
-			m.advancePosition(s.sentAt - g.settings.Replication.MaxStaleness[t.class])
-		}
-	case "causal", "strong":
-		if g.settings.Replication.WhenBehind != "none" && t.token > 0 {
-			m.advancePosition(t.token)
-			m.lastLag, m.lagSeenAt = min(g.estimatedLag(m), g.now-t.token), g.now
-		}
-	}
-}
-
 // markResponsive records an answer: any answer clears suspicion, whatever its cause.
 func (g *Gateway) markResponsive(m *member) {
 	m.silentSince, m.group.answeredAt = g.now, g.now
@@ -517,7 +498,7 @@
 	switch {
 	case t.slaDeadline <= g.now:
 		queue += 2 * len(g.settings.Classes)
-	case t.token == 0 && g.settings.Replication.Consistency[t.class] == "causal":
+	case g.settings.Replication.Consistency[t.class] == "causal" && g.requiredPosition(t, g.now) == 0:
 		queue += len(g.settings.Classes)
 	}
 	t.waiting = true
@@ -792,6 +773,7 @@
 		d.SendBefore = t.firstPossibleRun() + c.DedupWindow // establishing a connection may take long
 	}
 	g.submissionStarted(t, m)
+	g.writeStarted(t)
 	return d
 }
 
@@ -842,7 +824,7 @@
 		return g.choosePrimary(t, p, consistency == "mutate")
 	}
 	required := g.requiredPosition(t, g.now)
-	checked := g.settings.Replication.WhenBehind != "none"
+	checked := g.checksReads()
 	// A suspect primary gets trials too: without them no gateway would notice that it answers again.
 	if p != nil && p.suspect && (checked || p.role == RolePrimary) && g.hasCapacity(p, t) {
 		return p
@@ -918,14 +900,6 @@
 	return ahead < max(1, eligible/longReadDivisor)
 }
 
-// requiredPosition is the position that a read sent at a given time must see, 0 if it needs none.
-func (g *Gateway) requiredPosition(t *txn, at Nanos) Nanos {
-	if g.settings.Replication.Consistency[t.class] != "lag_bound" {
-		return t.token
-	}
-	return at - Nanos((1-stalenessMargin)*float64(g.settings.Replication.MaxStaleness[t.class]))
-}
-
 // primaryForRead is the primary for a read, as far as its writes leave capacity: nil while writes are queued
 // here, and less often the nearer its latency comes to latenessLimit, so that reads give way before the writes
 // of any gateway have to.
--- /dev/null
+++ b/decide/freshness.go
@@ -0,0 +1,187 @@
+package decide
+
+import "cmp"
+
+// This file holds what a read must see and what proves that a member has it. A value that is missing, late or from
+// another server proves nothing: what is not proven counts as not reached.
+
+// answerNoticeTime is less than the 100 ms after which an answer that was written counts as known, read or not.
+const answerNoticeTime = 50 * ms
+
+// sessionWrites is what a gateway remembers of a session's writes in a group.
+type sessionWrites struct {
+	committed Nanos // latest commit position told in an answer
+	possible  Nanos // a write without a known commit position was committed no later
+	inFlight  int   // submissions that have not ended
+}
+
+// latest is the position up to which the session's ended writes may have been committed.
+func (w *sessionWrites) latest() Nanos { return max(w.committed, w.possible) }
+
+// remembersWrites reports whether session reads must see the writes that this gateway remembers.
+func (g *Gateway) remembersWrites() bool { return g.settings.Replication.WriteMarks == "kept" }
+
+// checksReads reports whether members refuse reads for which they are too far behind.
+func (g *Gateway) checksReads() bool { return g.settings.Replication.WhenBehind != "none" }
+
+// writesOf returns the entry of a session, created if needed.
+func (grp *group) writesOf(session uint64) *sessionWrites {
+	w := grp.writes[session]
+	if w == nil {
+		w = new(sessionWrites)
+		grp.writes[session] = w
+	}
+	return w
+}
+
+// isSessionWrite reports whether a txn is a write that reads of its session must see by this gateway's memory.
+func (g *Gateway) isSessionWrite(t *txn) bool {
+	return g.remembersWrites() && t.session != 0 && g.settings.Replication.Consistency[t.class] == "mutate"
+}
+
+// writeStarted records that a write of a session is in flight.
+func (g *Gateway) writeStarted(t *txn) {
+	if g.isSessionWrite(t) {
+		t.group.writesOf(t.session).inFlight++
+	}
+}
+
+// writeEnded records how a submission of a session's write ended, whether or not its client still waits. Without a
+// commit position the commit may be as late as now.
+func (g *Gateway) writeEnded(t *txn, r Result, position Nanos) {
+	if !g.isSessionWrite(t) {
+		return
+	}
+	w := t.group.writesOf(t.session)
+	w.inFlight--
+	switch {
+	case r == Committed && position > 0:
+		w.committed = max(w.committed, g.settings.Replication.PositionEpoch+position)
+	case r == Committed || mayHaveRun(r):
+		w.possible = max(w.possible, g.now)
+	}
+}
+
+// RaiseSessionPosition makes reads of a session see at least a position of a group, such as that of a commit whose
+// position is too far ahead of the clock to prove anything about its member.
+func (g *Gateway) RaiseSessionPosition(groupID int, session uint64, at Nanos) {
+	if g.remembersWrites() && session != 0 {
+		w := g.groupOf(groupID).writesOf(session)
+		w.committed = max(w.committed, at)
+	}
+}
+
+// mayHaveRun reports whether a submission with this result may have had an effect without a valid answer.
+func mayHaveRun(r Result) bool {
+	return r == Failed || r == TimedOut || r == Broken || r == Cancelled
+}
+
+// requiredPosition is the position that a read sent at a given time must see, 0 if any replica will do.
+func (g *Gateway) requiredPosition(t *txn, at Nanos) Nanos {
+	switch g.settings.Replication.Consistency[t.class] {
+	case "lag_bound":
+		return at - Nanos((1-stalenessMargin)*float64(g.settings.Replication.MaxStaleness[t.class]))
+	}
+	return t.token
+}
+
+// sessionPosition is the position that a read of a session sent at a given time must see by what is remembered of its
+// writes, 0 if every replica is known to have reached it (step 2). Members that check reads enforce what the session
+// was answered, and no more.
+func (grp *group) sessionPosition(session uint64, at Nanos, checked bool) Nanos {
+	w := cmp.Or(grp.writes[session], new(sessionWrites))
+	required := w.committed
+	if !checked {
+		required = w.latest()
+		if w.inFlight > 0 {
+			required = max(required, at-answerNoticeTime)
+		}
+	}
+	if required <= grp.minReplicaPosition() {
+		return 0
+	}
+	return required
+}
+
+// forgetWrites deletes what every replica has reached.
+func (grp *group) forgetWrites() {
+	reached := grp.minReplicaPosition()
+	for session, w := range grp.writes {
+		if at := w.latest(); w.inFlight == 0 && at <= reached {
+			delete(grp.writes, session)
+		}
+	}
+}
+
+// minReplicaPosition is the position that every replica is known to have reached.
+func (grp *group) minReplicaPosition() Nanos {
+	lowest := Nanos(1 << 62)
+	for _, m := range grp.members {
+		if !m.excluded && m.role != RolePrimary {
+			lowest = min(lowest, m.position)
+		}
+	}
+	return lowest
+}
+
+// learnPosition records what a committed read proves on a member that checks reads: its token or staleness bound.
+func (g *Gateway) learnPosition(t *txn, s *submission, m *member) {
+	if !g.checksReads() {
+		return
+	}
+	switch g.settings.Replication.Consistency[t.class] {
+	case "lag_bound":
+		m.advancePosition(s.sentAt - g.settings.Replication.MaxStaleness[t.class])
+	case "causal", "strong":
+		if token := max(t.token, s.required); token > 0 {
+			m.advancePosition(token)
+			m.lastLag, m.lagSeenAt = min(g.estimatedLag(m), g.now-token), g.now
+		}
+	}
+}
+
+// advancePosition raises the proven position. Once proven it holds for good, also across role changes.
+func (m *member) advancePosition(at Nanos) { m.position = max(m.position, at) }
+
+// recordAnswer applies the role and position of an answer.
+func (g *Gateway) recordAnswer(m *member, role Role, position Nanos) {
+	if role != RoleUnknown {
+		m.role, m.roleAt = role, g.now
+		for _, o := range m.group.members {
+			// Only one primary at a time: the newest report wins, however late the other's answers are.
+			if role == RolePrimary && o != m && o.role == RolePrimary {
+				o.role = RoleUnknown
+			}
+		}
+		g.logPrimaryChange(m.group)
+	}
+	if position > 0 {
+		m.advancePosition(g.settings.Replication.PositionEpoch + position)
+		m.lastLag, m.lagSeenAt, m.positionSeenAt = g.now-(g.settings.Replication.PositionEpoch+position), g.now, g.now
+	}
+}
+
+// recordReport applies a load report: its position, which holds even if it is old, and its role if no answer
+// is newer.
+func (g *Gateway) recordReport(m *member, report []float64) {
+	fields := g.settings.LoadReport.Fields
+	for i, field := range fields[:min(len(fields), len(report))] {
+		switch field {
+		case "x0":
+			if report[i] > 0 {
+				at := g.settings.Replication.PositionEpoch + Millis(report[i]*1000)
+				m.advancePosition(at)
+				m.lastLag, m.lagSeenAt, m.positionSeenAt = max(min(g.estimatedLag(m), g.now-at), g.now-at-maxReportDelay), g.now, g.now
+			}
+		case "x1":
+			newer := g.now-m.roleAt > answerPrecedence || m.role == RoleUnknown
+			if newer && report[i] == 1 && m.role != RolePrimary {
+				g.recordAnswer(m, RolePrimary, 0)
+				m.roleAt = 0
+			} else if newer && report[i] != 1 {
+				m.role = RoleReplica
+				g.logPrimaryChange(m.group)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/decide/freshness_test.go
@@ -0,0 +1,65 @@
+package decide
+
+import "fmt"
+
+// openUnchecked opens an instance whose members answer reads from whatever data they have.
+func openUnchecked(changes ...string) *trace { return open(append(changes, `"await"`, `"none"`)...) }
+
+// openRemembering opens one that also has to remember what sessions wrote.
+func openRemembering(changes ...string) *trace {
+	return openUnchecked(append(changes, "brought", "kept")...)
+}
+
+// A write whose client has left before the answer is seen by the session's next read.
+func Example_readAfterWriteWhoseClientLeft() {
+	t := openRemembering().list("a* b").txn(1, 3, 0).printRound().at(10010)
+	t.g.ClientGone(1)
+	t.end(1, 0, "a", Committed, 1, 10005).txn(2, 0, 0).printRound().run(10170)
+	// Output:
+	// 10000 submit 1 to a
+	//  10160 submit 2 to a
+}
+
+// A write that broke off may have been answered: the session's next read sees what was committed by then.
+func Example_readAfterWriteThatBrokeOff() {
+	t := openRemembering().list("a* b").txn(1, 3, 0).txn(3, 2, 0).printRound().end(3, 0, "b", Committed, 2, 9999)
+	t.at(10010).end(1, 0, "a", Broken, 0, 0).txn(2, 0, 0).printRound().at(10030).txn(4, 2, 0).printRound()
+	t.end(4, 0, "b", Committed, 2, 10015).printRound()
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 submit 3 to b
+	//  10010 roll back 1
+	//  10030 submit 4 to b
+	//  10030 submit 2 to b
+}
+
+// The answer of a write in flight may have been written already: a read of its session needs nearly current data.
+func Example_readBesideWriteInFlight() {
+	t := openRemembering().list("a* b").txn(1, 3, 0).txn(3, 2, 0).printRound().end(3, 0, "b", Committed, 2, 9999)
+	t.at(10100).txn(2, 0, 0).txn(4, 2, 0).printRound().end(4, 0, "b", Committed, 2, 10090).printRound()
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 submit 3 to b
+	//  10100 submit 4 to b
+	//  10100 submit 2 to b
+}
+
+// A commit whose answer holds no position may be as late as its answer.
+func Example_readAfterCommitWithoutPosition() {
+	t := openRemembering().list("a* b").txn(1, 3, 0).printRound().at(10010).end(1, 0, "a", Committed, 1, 0)
+	t.txn(2, 0, 0).printRound().run(10170)
+	// Output:
+	// 10000 submit 1 to a
+	//  10160 submit 2 to a
+}
+
+// A commit's position ahead of the clock proves nothing of its member, but binds its session.
+func Example_readAfterCommitAheadOfTheClock() {
+	t := openRemembering().list("a* b").txn(1, 2, 0).printRound().end(1, 0, "b", Committed, 2, 9999)
+	t.g.RaiseSessionPosition(0, 7, Millis(60_000))
+	t.txn(2, 0, 0).printRound()
+	fmt.Println(t.g.Next())
+	// Output:
+	// 10000 submit 1 to b
+	// {0 0 0 0.0.0.0:0 0 0 0  []} false
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -104,7 +104,7 @@
 	primarySearch *txn     // the write that is trying members in turn to find the primary
 	loggedPrimary *member  // as last logged
 	answeredAt    Nanos
-	tokens        map[uint64]Nanos // last commit positions by session, if kept here
+	writes        map[uint64]*sessionWrites // by session, if they are to be remembered here
 }
 
 // submission is one attempt of a txn at a member.
@@ -114,7 +114,8 @@
 	rate         float64 // 1 / expected service time
 	ended        bool
 	cancelled    bool
-	responseLost bool // no answer is expected any more: it does not count as in flight
+	required     Nanos // position that a read had to see when it was sent
+	responseLost bool  // no answer is expected any more: it does not count as in flight
 }
 
 // txn is a client request, kept until it is answered and all its submissions have ended.
@@ -259,7 +260,7 @@
 			return grp
 		}
 	}
-	grp := &group{id: id, queues: make([][]*txn, 3*len(g.settings.Classes)), tokens: map[uint64]Nanos{}}
+	grp := &group{id: id, queues: make([][]*txn, 3*len(g.settings.Classes)), writes: map[uint64]*sessionWrites{}}
 	g.groups = append(g.groups, grp)
 	slices.SortFunc(g.groups, func(a, b *group) int { return a.id - b.id })
 	return grp
@@ -374,7 +375,7 @@
 		m.silentSince = g.now
 	}
 	rate := 1 / max(float64(g.settings.Tick), g.expectedServiceTime(t.class)+float64(g.zoneDelay(m.zone)))
-	t.submissions = append(t.submissions, submission{member: m, sentAt: g.now, rate: rate})
+	t.submissions = append(t.submissions, submission{member: m, sentAt: g.now, rate: rate, required: g.requiredPosition(t, g.now)})
 	t.waiting = false
 	t.inFlight++
 	m.inFlight++
@@ -397,8 +398,7 @@
 		s.member.coldCredit += g.expectedServiceTime(t.class)
 		s.member.sentWork.add(g.now, classDecay, -g.expectedServiceTime(t.class))
 	}
-	ran := r == Failed || r == TimedOut || r == Broken || r == Cancelled
-	if ran && (t.firstRunAt == 0 || s.sentAt < t.firstRunAt) {
+	if mayHaveRun(r) && (t.firstRunAt == 0 || s.sentAt < t.firstRunAt) {
 		t.firstRunAt = s.sentAt
 	}
 	if r == Committed || r == Failed {
@@ -465,21 +465,6 @@
 	}
 }
 
-// advancePosition raises the proven position. Once proven it holds for good, also across role changes.
-func (m *member) advancePosition(at Nanos) { m.position = max(m.position, at) }
-
-// minReplicaPosition is the position that every replica is known to have reached: a token up to it needs no
-// check (step 2).
-func (grp *group) minReplicaPosition() Nanos {
-	lowest := Nanos(1 << 62)
-	for _, m := range grp.members {
-		if !m.excluded && m.role != RolePrimary {
-			lowest = min(lowest, m.position)
-		}
-	}
-	return lowest
-}
-
 // describePrimary describes a group's primary for the log.
 func (m *member) describePrimary() string {
 	switch {
@@ -585,15 +570,14 @@
 	return d.value(now, decay) / float64(decay) / observedFraction
 }
 
-// expireState deletes tokens that every replica has reached, and sessions whose client's limit is over.
+// expireState deletes writes that every replica has reached, and sessions whose client's limit is over.
 func (g *Gateway) expireState(interval Nanos) {
 	if g.now-g.lastExpiryAt <= interval {
 		return
 	}
 	g.lastExpiryAt = g.now
 	for _, grp := range g.groups {
-		reached := grp.minReplicaPosition()
-		maps.DeleteFunc(grp.tokens, func(_ uint64, at Nanos) bool { return at <= reached })
+		grp.forgetWrites()
 	}
 	maps.DeleteFunc(g.unserved, func(k sessionClass, at Nanos) bool {
 		return g.now-at > g.settings.Classes[k.class].HardLimit
@@ -696,49 +680,6 @@
 	return d, true
 }
 
-// recordAnswer applies the role and position of an answer.
-func (g *Gateway) recordAnswer(m *member, role Role, position Nanos) {
-	if role != RoleUnknown {
-		m.role, m.roleAt = role, g.now
-		for _, o := range m.group.members {
-			// Only one primary at a time: the newest report wins, however late the other's answers are.
-			if role == RolePrimary && o != m && o.role == RolePrimary {
-				o.role = RoleUnknown
-			}
-		}
-		g.logPrimaryChange(m.group)
-	}
-	if position > 0 {
-		m.advancePosition(g.settings.Replication.PositionEpoch + position)
-		m.lastLag, m.lagSeenAt, m.positionSeenAt = g.now-(g.settings.Replication.PositionEpoch+position), g.now, g.now
-	}
-}
-
-// recordReport applies a load report: its position, which holds even if it is old, and its role if no answer
-// is newer.
-func (g *Gateway) recordReport(m *member, report []float64) {
-	fields := g.settings.LoadReport.Fields
-	for i, field := range fields[:min(len(fields), len(report))] {
-		switch field {
-		case "x0":
-			if report[i] > 0 {
-				at := g.settings.Replication.PositionEpoch + Millis(report[i]*1000)
-				m.advancePosition(at)
-				m.lastLag, m.lagSeenAt, m.positionSeenAt = max(min(g.estimatedLag(m), g.now-at), g.now-at-maxReportDelay), g.now, g.now
-			}
-		case "x1":
-			newer := g.now-m.roleAt > answerPrecedence || m.role == RoleUnknown
-			if newer && report[i] == 1 && m.role != RolePrimary {
-				g.recordAnswer(m, RolePrimary, 0)
-				m.roleAt = 0
-			} else if newer && report[i] != 1 {
-				m.role = RoleReplica
-				g.logPrimaryChange(m.group)
-			}
-		}
-	}
-}
-
 // isCold reports whether a member started too recently to be warm.
 func (g *Gateway) isCold(m *member) bool {
 	return m.startedAt > 0 && g.now-m.startedAt < g.settings.Rules.ColdDuration
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -95,18 +95,20 @@
 // input is an event for the module. Inputs are applied at the beginning of a turn in the order of their arrival; decisions
 // and the writes that they cause may add more.
 type input struct {
-	kind         inputKind
-	ref          slots.Ref // a client with unread data, or a txn
-	attempt      int
-	server       decide.Server
-	result       decide.Result
-	elapsed      decide.Nanos
-	role         decide.Role
-	position     decide.Nanos
-	report       []float64
-	list         *listUpdate
-	fenceAttempt uint64 // number of the fence request that a probe serves, 0 for none
-	group        int    // of the fence request
+	kind     inputKind
+	ref      slots.Ref // a client with unread data, or a txn
+	attempt  int
+	server   decide.Server
+	result   decide.Result
+	elapsed  decide.Nanos
+	role     decide.Role
+	position decide.Nanos
+	report   []float64
+	// Position that is too far ahead of the clock to prove anything: if it is a commit's, reads of its session must see it.
+	requiredPosition decide.Nanos
+	list             *listUpdate
+	fenceAttempt     uint64 // number of the fence request that a probe serves, 0 for none
+	group            int    // of the fence request
 }
 
 type inputKind int
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -394,7 +394,10 @@
 	if a != nil {
 		in.report = a.loadReport
 		in.role = a.role
-		in.position, _ = ms.localPosition(a.position)
+		var usable bool
+		if in.position, usable = ms.localPosition(a.position); !usable && a.position > 0 {
+			in.requiredPosition = ms.g.clock.fromUnixMs(a.position)
+		}
 	}
 	ms.g.inputs = append(ms.g.inputs, in)
 }
--- a/gateway/txns.go
+++ b/gateway/txns.go
@@ -346,6 +346,9 @@
 	g.outcomes.attempts[in.result]++
 	g.module.SubmissionEnded(t.id, in.attempt, in.server, in.result, in.elapsed, in.role, in.position,
 		t.answered, in.report)
+	if in.requiredPosition > 0 && t.writes && in.result == decide.Committed {
+		g.module.RaiseSessionPosition(t.comment.Group, t.session, in.requiredPosition)
+	}
 	g.releaseIfDone(in.ref, false)
 }
 
