What a session's read must see is asked for when it is sent, not when it arrives

Callers saw: a read that had waited showed data 0.194 s older than a write of its session that was answered meanwhile. Cause: AddTxn took the mark once. Change: requiredPosition works it out at each choice, repeats too. Result: Example_writeAnsweredWhileReadWaits failed before and passes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -124,8 +124,6 @@
 	case "causal":
 		if writeAge != 0 { // below 0 if the group's clock is ahead of this one
 			t.token = g.now - writeAge
-		} else if g.remembersWrites() {
-			t.token = t.group.sessionPosition(session, g.now, g.checksReads())
 		}
 	case "strong":
 		t.token = g.now
--- a/decide/freshness.go
+++ b/decide/freshness.go
@@ -81,6 +81,10 @@
 	switch g.settings.Replication.Consistency[t.class] {
 	case "lag_bound":
 		return at - Nanos((1-stalenessMargin)*float64(g.settings.Replication.MaxStaleness[t.class]))
+	case "causal":
+		if g.remembersWrites() && t.token == 0 {
+			return t.group.sessionPosition(t.session, at, g.checksReads())
+		}
 	}
 	return t.token
 }
--- a/decide/freshness_test.go
+++ b/decide/freshness_test.go
@@ -63,3 +63,13 @@
 	// 10000 submit 1 to b
 	// {0 0 0 0.0.0.0:0 0 0 0  []} false
 }
+
+// A read that has waited sees a write of its session that was answered meanwhile.
+func Example_writeAnsweredWhileReadWaits() {
+	t := openRemembering().list("a* b").txn(1, 3, 0).txn(3, 2, 0).printRound().end(3, 0, "b", Committed, 2, 9999)
+	t.txn(2, 0, 0).at(10010).end(1, 0, "a", Committed, 1, 10005).printRound().run(10160)
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 submit 3 to b
+	//  10150 submit 2 to a
+}
