A write that all replicas had reached still binds reads at a replica that joins later

Callers could see: a session's read from the copy that a new replica starts with, some seconds old. Change: the highest position forgotten stays as the group's floor; replicas known past it are not affected. Result: Example_joiningReplicaAfterForgottenWrite failed before and passes.

--- a/decide/freshness.go
+++ b/decide/freshness.go
@@ -96,7 +96,7 @@
 	w := cmp.Or(grp.writes[session], new(sessionWrites))
 	required := w.committed
 	if !checked {
-		required = w.latest()
+		required = max(w.latest(), grp.forgotten)
 		if w.inFlight > 0 {
 			required = max(required, at-answerNoticeTime)
 		}
@@ -107,11 +107,12 @@
 	return required
 }
 
-// forgetWrites deletes what every replica has reached.
+// forgetWrites deletes what every replica has reached, and keeps the position for replicas that join later.
 func (grp *group) forgetWrites() {
 	reached := grp.minReplicaPosition()
 	for session, w := range grp.writes {
 		if at := w.latest(); w.inFlight == 0 && at <= reached {
+			grp.forgotten = max(grp.forgotten, at)
 			delete(grp.writes, session)
 		}
 	}
--- a/decide/freshness_test.go
+++ b/decide/freshness_test.go
@@ -73,3 +73,18 @@
 	//  10000 submit 3 to b
 	//  10150 submit 2 to a
 }
+
+// A write that every replica had reached is not forgotten for a replica that joins later.
+func Example_joiningReplicaAfterForgottenWrite() {
+	t := openRemembering().list("a* b").txn(1, 3, 0).printRound().at(10010).end(1, 0, "a", Committed, 1, 10005)
+	t.txn(2, 2, 0).printRound().at(10020).end(2, 0, "b", Committed, 2, 10015).at(16000).printRound()
+	t.list("a* b c").txn(3, 2, 0).txn(4, 2, 0).txn(5, 0, 0).txn(6, 0, 0).txn(7, 0, 0).printRound()
+	// Output:
+	// 10000 submit 1 to a
+	//  10010 submit 2 to b
+	//  16000 submit 5 to b
+	//  16000 submit 6 to b
+	//  16000 submit 7 to b
+	//  16000 submit 3 to c
+	//  16000 submit 4 to c
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -105,6 +105,7 @@
 	loggedPrimary *member  // as last logged
 	answeredAt    Nanos
 	writes        map[uint64]*sessionWrites // by session, if they are to be remembered here
+	forgotten     Nanos                     // highest position of a write that was deleted from writes
 }
 
 // submission is one attempt of a txn at a member.
