A member counts as primary only by the last that it can have said of its role

Cause: a role held until another answer was read. An answer to a submission that was given up may have said 'read-only' (an answer counts as known 100 ms after it was written); an answer that was under way, or a report older than the member's own word, made it primary again; a refused write without a role left it primary. Change: after an unread answer a primary counts by its position for reads until it answers; late claims are ignored unless their position shows that they are newer; who refuses for lack of eligibility is a replica. Writes go there as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -155,8 +155,12 @@
 	s, m := &t.submissions[attempt], t.submissions[attempt].member // the list may have removed the member since
 	g.submissionClosed(t, s, r)
 	g.writeEnded(t, r, position)
+	if unread(r) {
+		m.roleUnreadAt = g.now
+	}
+	role = g.answeredRole(s, r, role, position)
 	g.recordAnswer(m, role, position)
-	g.recordReport(m, report)
+	g.recordReport(m, report, role)
 	if role == RolePrimary && g.settings.Replication.WhenBehind != "none" {
 		m.advancePosition(s.sentAt) // a primary's position is the present
 	}
@@ -225,7 +229,7 @@
 		return
 	}
 	running := r == Committed
-	g.recordReport(m, report)
+	g.recordReport(m, report, RoleUnknown)
 	g.queueUpdate(m)
 	if m.refusedConnections+m.brokenConnections > 0 && m.checkSentAt > 0 {
 		switch m.checkSentAt = 0; {
@@ -821,6 +825,7 @@
 	if consistency == "mutate" || consistency == "strong" {
 		return g.choosePrimary(t, p, consistency == "mutate")
 	}
+	p = g.freshPrimary(t.group)
 	required := g.requiredPosition(t, g.now)
 	checked := g.checksReads()
 	// A suspect primary gets trials too: without them no gateway would notice that it answers again.
@@ -924,7 +929,10 @@
 // choosePrimary is step 1. Without a responsive primary, one write at a time tries the members in turn.
 func (g *Gateway) choosePrimary(t *txn, p *member, write bool) *member {
 	if p != nil && !p.suspect {
-		isPrimary := write || p.role == RolePrimary || g.settings.Replication.WhenBehind != "none"
+		isPrimary := write || g.checksReads() || p.isProvenPrimary()
+		if !isPrimary && p.roleUnreadAt > 0 {
+			g.markUnproven(t.group, nil, g.now+1) // a probe proves the role
+		}
 		if isPrimary && g.hasCapacity(p, t) && !t.sentTo(p, g.now-queueCheckInterval) {
 			return p
 		}
@@ -975,7 +983,7 @@
 	var best *member
 	for _, m := range members {
 		lastKnownAt, remote := max(m.positionSeenAt, m.queriedAt), m.zone != g.settings.Zone
-		if m.excluded || m.role == RolePrimary || m.listedPrimary || m.suspect ||
+		if m.excluded || m.isProvenPrimary() || m.listedPrimary && m.roleUnreadAt == 0 || m.suspect ||
 			g.now-lastKnownAt < max(positionProbeInterval, m.lastLag/positionProbeLagDivisor) ||
 			g.now < m.restUntil || remote && g.zoneDelay(m.zone) > queueCheckInterval || !g.withinColdBudget(m) {
 			continue
--- a/decide/freshness.go
+++ b/decide/freshness.go
@@ -76,6 +76,9 @@
 	return r == Failed || r == TimedOut || r == Broken || r == Cancelled
 }
 
+// unread reports whether an answer may have been written that this gateway did not read.
+func unread(r Result) bool { return r == TimedOut || r == Broken || r == Cancelled }
+
 // requiredPosition is the position that a read sent at a given time must see, 0 if any replica will do.
 func (g *Gateway) requiredPosition(t *txn, at Nanos) Nanos {
 	switch g.settings.Replication.Consistency[t.class] {
@@ -122,13 +125,27 @@
 func (grp *group) minReplicaPosition() Nanos {
 	lowest := Nanos(1 << 62)
 	for _, m := range grp.members {
-		if !m.excluded && m.role != RolePrimary {
+		if !m.excluded && !m.isProvenPrimary() {
 			lowest = min(lowest, m.position)
 		}
 	}
 	return lowest
 }
 
+// isProvenPrimary reports whether the last that a member can have told of its role is that it is the primary, which
+// stands at the present.
+func (m *member) isProvenPrimary() bool { return m.role == RolePrimary && m.roleUnreadAt == 0 }
+
+// freshPrimary is the group's primary for reads, nil if a member that does not check reads may have told in an unread
+// answer that it is the primary no more. It then counts by its position, like a replica.
+func (g *Gateway) freshPrimary(grp *group) *member {
+	p := g.primaryOf(grp)
+	if p != nil && !g.checksReads() && p.roleUnreadAt > 0 {
+		return nil
+	}
+	return p
+}
+
 // learnPosition records what a committed read proves on a member that checks reads: its token or staleness bound.
 func (g *Gateway) learnPosition(t *txn, s *submission, m *member) {
 	if !g.checksReads() {
@@ -148,10 +165,23 @@
 // advancePosition raises the proven position. Once proven it holds for good, also across role changes.
 func (m *member) advancePosition(at Nanos) { m.position = max(m.position, at) }
 
+// answeredRole is the role that an answer proves. A refusal for lack of eligibility comes from a replica, whether or
+// not it says so. That a member is the primary proves nothing if it said otherwise after the submission was sent.
+func (g *Gateway) answeredRole(s *submission, r Result, role Role, position Nanos) Role {
+	m := s.member
+	switch {
+	case role == RoleUnknown && r == NotEligible:
+		return RoleReplica
+	case role == RolePrimary && m.role == RoleReplica && s.sentAt < m.roleAt && g.settings.Replication.PositionEpoch+position <= m.roleAt:
+		return RoleUnknown
+	}
+	return role
+}
+
 // recordAnswer applies the role and position of an answer.
 func (g *Gateway) recordAnswer(m *member, role Role, position Nanos) {
 	if role != RoleUnknown {
-		m.role, m.roleAt = role, g.now
+		m.role, m.roleAt, m.roleUnreadAt = role, g.now, 0
 		for _, o := range m.group.members {
 			// Only one primary at a time: the newest report wins, however late the other's answers are.
 			if role == RolePrimary && o != m && o.role == RolePrimary {
@@ -166,27 +196,43 @@
 	}
 }
 
-// recordReport applies a load report: its position, which holds even if it is old, and its role if no answer
-// is newer.
-func (g *Gateway) recordReport(m *member, report []float64) {
+// recordReport applies a load report: its position, which holds even if it is old, and its role unless the answer that it
+// came with tells one.
+func (g *Gateway) recordReport(m *member, report []float64, answered Role) {
 	fields := g.settings.LoadReport.Fields
+	var position Nanos // a primary's is the time of its report
 	for i, field := range fields[:min(len(fields), len(report))] {
-		switch field {
-		case "x0":
-			if report[i] > 0 {
-				at := g.settings.Replication.PositionEpoch + Millis(report[i]*1000)
-				m.advancePosition(at)
-				m.lastLag, m.lagSeenAt, m.positionSeenAt = max(min(g.estimatedLag(m), g.now-at), g.now-at-maxReportDelay), g.now, g.now
-			}
-		case "x1":
-			newer := g.now-m.roleAt > answerPrecedence || m.role == RoleUnknown
-			if newer && report[i] == 1 && m.role != RolePrimary {
-				g.recordAnswer(m, RolePrimary, 0)
-				m.roleAt = 0
-			} else if newer && report[i] != 1 {
-				m.role = RoleReplica
-				g.logPrimaryChange(m.group)
-			}
+		if field == "x0" && report[i] > 0 {
+			position = g.settings.Replication.PositionEpoch + Millis(report[i]*1000)
+			m.advancePosition(position)
+			m.lastLag, m.lagSeenAt, m.positionSeenAt = max(min(g.estimatedLag(m), g.now-position), g.now-position-maxReportDelay), g.now, g.now
 		}
 	}
+	for i, field := range fields[:min(len(fields), len(report))] {
+		if field == "x1" && answered == RoleUnknown {
+			g.recordReportedRole(m, report[i] == 1, position)
+		}
+	}
+}
+
+// recordReportedRole applies the role in a report made no earlier than its position. An answer outweighs it for a
+// while, and for good if it said that the member is a replica and the report may be older.
+func (g *Gateway) recordReportedRole(m *member, primary bool, position Nanos) {
+	newer := g.now-m.roleAt > answerPrecedence || m.role == RoleUnknown
+	switch {
+	case primary && m.role == RolePrimary:
+		if position > m.roleUnreadAt {
+			m.roleUnreadAt = 0
+		}
+	case primary && newer && (m.role != RoleReplica || position > m.roleAt):
+		unreadAt := m.roleUnreadAt
+		g.recordAnswer(m, RolePrimary, 0)
+		m.roleAt = 0
+		if position <= unreadAt {
+			m.roleUnreadAt = unreadAt
+		}
+	case !primary && (newer || position > m.roleAt):
+		m.role = RoleReplica
+		g.logPrimaryChange(m.group)
+	}
 }
--- a/decide/freshness_test.go
+++ b/decide/freshness_test.go
@@ -88,3 +88,51 @@
 	//  16000 submit 3 to c
 	//  16000 submit 4 to c
 }
+
+// A primary whose answer was not read may have said that it is none: until it answers, it counts by its position.
+func Example_primaryWithUnreadAnswer() {
+	t := openUnchecked().list("a b").txn(1, 2, 0).printRound().end(1, 0, "a", Committed, 1, 9990)
+	t.at(10400).txn(2, 1, 0).printRound().at(10500).end(2, 0, "a", TimedOut, 0, 0).printRound()
+	t.txn(3, 2, 0).txn(4, 2, 0).printRound().at(10510).end(4, 0, "b", Committed, 2, 10300).printRound()
+	// Output:
+	// 10000 submit 1 to a
+	//  10400 submit 2 to a
+	//  10500 submit 3 to a
+	//  10500 submit 4 to b
+	//  10510 submit 2 to b
+}
+
+// An answer that was under way while its member said that it is no primary does not make it one again.
+func Example_lateAnswerOfFormerPrimary() {
+	t := openUnchecked().list("a").txn(1, 2, 0).txn(2, 2, 0).printRound()
+	t.at(10020).end(2, 0, "a", Committed, 2, 9500).at(10400).end(1, 0, "a", Committed, 1, 9990)
+	t.txn(3, 1, 0).printRound()
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 submit 2 to a
+}
+
+// A member that refuses a write is no primary, whether or not it says so.
+func Example_refusalWithoutRole() {
+	t := openUnchecked().list("a").txn(1, 3, 0).printRound().end(1, 0, "a", Committed, 1, 9990)
+	t.at(10400).txn(2, 3, 0).printRound().g.ClientGone(2)
+	t.end(2, 0, "a", NotEligible, 0, 0).txn(3, 1, 0).printRound()
+	// Output:
+	// 10000 submit 1 to a
+	//  10400 submit 2 to a
+}
+
+// A report that may be older than a member's own word does not make it the primary again.
+func Example_lateReportOfFormerPrimary() {
+	reports := `"how":"probe","fields":["x0","x1"]`
+	t := openUnchecked(`"how":"none","fields":[]`, reports).list("a").txn(1, 2, 0).printRound().at(10010).end(1, 0, "a", Committed, 2, 9000)
+	t.at(11500)
+	for _, reportedAt := range []float64{10, 11.45} {
+		t.g.ProbeEnded(Server{'a'}, Committed, Millis(2), []float64{reportedAt, 1})
+		fmt.Println(t.g.StateOf(Server{'a'}).Primary)
+	}
+	// Output:
+	// 10000 submit 1 to a
+	// false
+	// true
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -72,6 +72,7 @@
 	unprovenAt, queriedAt        Nanos // when a read last skipped it for lack of proof; when it was last queried
 	role                         Role
 	roleAt                       Nanos   // when an answer last reported the role
+	roleUnreadAt                 Nanos   // when a submission last ended whose answer may have reported another role; 0 if an answer came since
 	listedPrimary                bool    // the list names it as primary
 	inFlight                     int     // submissions in flight from this gateway
 	busy                         bool    // in Gateway.busyMembers
@@ -661,7 +662,7 @@
 	m.advancePosition(update.Position)
 	m.lastLag, m.lagSeenAt, m.positionSeenAt = max(min(g.estimatedLag(m), g.now-update.Position),
 		g.now-update.Position-maxReportDelay), g.now, g.now
-	if p := g.primaryOf(m.group); update.Primary && update.Position > m.roleAt && (p == nil || update.Position > p.roleAt) {
+	if p := g.primaryOf(m.group); update.Primary && update.Position > max(m.roleAt, m.roleUnreadAt) && (p == nil || update.Position > p.roleAt) {
 		g.recordAnswer(m, RolePrimary, 0)
 		m.roleAt = update.Position
 	}
