A read's proof is checked again when its query is written, not only when it is chosen

Callers could see: a bounded read older than its bound, as the bound counts from the last byte of the send and a connection may take longer to come up than the bound; a session's read likewise when a write was answered meanwhile. Found by reading. Change: StillFresh, asked before a query is written; what fails goes back to the queue as never sent. Result: Example_proofLostWhileDialling and a test with a slow handshake (written after 1 s with a bound of 1 s) failed before and pass.

--- a/decide/freshness.go
+++ b/decide/freshness.go
@@ -146,6 +146,27 @@
 	return p
 }
 
+// StillFresh reports whether a submission that is about to be written, maybe long after it was decided on, may still go
+// to its member: establishing a connection takes time, in which a bound passes, a session's write is answered and a
+// primary loses its role.
+func (g *Gateway) StillFresh(id uint64, attempt int, now Nanos) bool {
+	t := g.txns[id]
+	if t == nil || attempt >= len(t.submissions) || g.checksReads() {
+		return true
+	}
+	m := t.submissions[attempt].member
+	isPrimary := m == g.freshPrimary(t.group)
+	switch g.settings.Replication.Consistency[t.class] {
+	case "mutate", "eventual":
+		return true
+	case "strong":
+		return isPrimary && m.role == RolePrimary
+	case "lag_bound":
+		return isPrimary || m.position >= now-g.settings.Replication.MaxStaleness[t.class]
+	}
+	return isPrimary || m.position >= g.requiredPosition(t, now)
+}
+
 // learnPosition records what a committed read proves on a member that checks reads: its token or staleness bound.
 func (g *Gateway) learnPosition(t *txn, s *submission, m *member) {
 	if !g.checksReads() {
--- a/decide/freshness_test.go
+++ b/decide/freshness_test.go
@@ -136,3 +136,19 @@
 	// false
 	// true
 }
+
+// While a connection comes up, a bound passes and a session's write is answered: the submission is not written then.
+func Example_proofLostWhileDialling() {
+	t := openRemembering().list("a* b").txn(1, 2, 0).printRound().end(1, 0, "b", Committed, 2, 9990)
+	t.txn(2, 1, 0).txn(3, 0, 0).txn(4, 3, 0).printRound()
+	fmt.Println(t.g.StillFresh(2, 0, Millis(10_200)), t.g.StillFresh(3, 0, Millis(10_030)))
+	t.at(10_100).end(4, 0, "a", Committed, 1, 10_080)
+	fmt.Println(t.g.StillFresh(2, 0, Millis(10_300)), t.g.StillFresh(3, 0, Millis(10_110)))
+	// Output:
+	// 10000 submit 1 to b
+	//  10000 submit 4 to a
+	//  10000 submit 3 to b
+	//  10000 submit 2 to b
+	// true true
+	// false false
+}
--- /dev/null
+++ b/gateway/freshness_test.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"magpieglade/decide"
+)
+
+// serveFrom answers all further queries on a connection as a replica at the present position.
+func (e *testConn) serveFrom(name string) {
+	for _, ok := e.readQuery(); ok; _, ok = e.readQuery() {
+		e.sendRow(name, "read-only")
+	}
+}
+
+func TestBoundedReadIsNotWrittenAfterItsProofHasAged(t *testing.T) {
+	t.Parallel()
+	const bound = time.Second
+	d, a := newScriptedServer(t), newScriptedServer(t)
+	g, ended, stop := startTestGatewayWith(t, func(c *Config) {
+		c.Settings = json.RawMessage(strings.NewReplacer(`"await"`, `"none"`, `"name":"once"}]`,
+			`"name":"once"},{"effect":"repeatable","promiseMs":3000,"hardLimitMs":10000,"worth":1,"name":"bounded"}]`,
+			`["eventual","mutate"]`, `["eventual","mutate","lag_bound"]`, `[0,0]`, fmt.Sprintf("[0,0,%d]", bound.Milliseconds())).Replace(testSettings))
+	}, d, a.listEntry("a", "active"))
+	d.accept(t).readCall(t)
+	first, second, bounded := connectClient(t, g), connectClient(t, g), connectClient(t, g)
+	first.sendTxn("any", 9000)
+	busy := a.acceptConnection(t)
+	busy.readQuery()
+	provenAt := time.Now()
+	busy.sendRowAt("a", "read-only", provenAt.UnixMilli())
+	first.readResponse()
+	g.awaitReusable()
+	second.sendTxn("any", 9000)
+	busy.readQuery()
+	bounded.sendTxn("bounded", 9000)
+	late := a.accept(t)
+	late.readStartup()
+	for time.Since(provenAt) <= bound {
+		time.Sleep(time.Millisecond)
+	}
+	written := make(chan bool)
+	go func() {
+		_, sent := late.readQuery()
+		written <- sent
+		late.sendRow("a", "read-only")
+		late.serveFrom("a")
+	}()
+	late.sendReady()
+	for unsent := uint64(0); unsent == 0; {
+		select {
+		case <-written:
+			t.Fatal("the read was written, although nothing proved that its bound was kept")
+		default:
+			g.runOnLoop(func() { unsent = g.outcomes.attempts[decide.NotSent] })
+		}
+	}
+	go func() { <-written }()
+	a.serve("a", "read-only")
+	busy.sendRow("a", "read-only")
+	go busy.serveFrom("a")
+	if got := bounded.readResponse(); got != "served by a" {
+		t.Error(got)
+	}
+	stop()
+	<-ended
+}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -174,11 +174,13 @@
 }
 
 // sendQuery writes the query of a connection's job, unless something forbids it that happened while the connection was
-// being established: its member drains, or its group may have forgotten the txn's first submission.
+// being established: its member drains, its group may have forgotten the txn's first submission, or its member is no longer
+// proven to have the data that the txn must see.
 func (ms *members) sendQuery(ref slots.Ref) {
 	m := ms.conns.Get(ref)
-	expired := m.job.sendBefore > 0 && ms.g.clock.now() >= m.job.sendBefore
-	if m.draining || expired {
+	now := ms.g.clock.now()
+	expired := m.job.sendBefore > 0 && now >= m.job.sendBefore
+	if m.draining || expired || !ms.g.isStillFresh(&m.job, now) {
 		ms.finishJob(ref, decide.NotSent, false)
 		ms.returnToPool(ref)
 		return
--- a/gateway/txns.go
+++ b/gateway/txns.go
@@ -352,6 +352,12 @@
 	g.releaseIfDone(in.ref, false)
 }
 
+// isStillFresh reports whether a job may be written now, as far as the age of its member's data is concerned.
+func (g *Gateway) isStillFresh(j *job, now decide.Nanos) bool {
+	t := g.txns.Get(j.txn)
+	return j.probe || t == nil || g.module.StillFresh(t.id, j.submissionNo, now)
+}
+
 // buildQuery returns a txn's query message for a member: byte for byte what the client sent, except for the budget, which
 // is the time that this gateway will wait.
 func (g *Gateway) buildQuery(ref slots.Ref, until decide.Nanos) (parts [][]byte, ok bool) {
