What a server told proves nothing of the next server at its address

Callers could see: a stale read where the list's removals do not bind (softRemoval) and an address is used again; the former server's position and role passed to the next one, and a probe that was under way was credited to it. Found by reading. Change: the list's names decide; ForgetMember, and probes sent before a member was listed are dropped. Result: Example_addressUsedAgain and a test on sockets ('served by a') failed before and pass.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -223,9 +223,9 @@
 }
 
 // ProbeEnded records the result of a probe: position and role, where reports carry them, but not health.
-func (g *Gateway) ProbeEnded(server Server, r Result, _ Nanos, report []float64) {
+func (g *Gateway) ProbeEnded(server Server, r Result, elapsed Nanos, report []float64) {
 	m := g.members[server]
-	if m == nil {
+	if m == nil || g.now-elapsed < m.addedAt { // it was sent to another server at this address
 		return
 	}
 	running := r == Committed
--- a/decide/freshness_test.go
+++ b/decide/freshness_test.go
@@ -152,3 +152,15 @@
 	// true true
 	// false false
 }
+
+// What a server told holds for no other server that has its address now.
+func Example_addressUsedAgain() {
+	reports := `"how":"probe","fields":["x0","x1"]`
+	soft := []string{`"how":"none","fields":[]`, reports, `"askWithinMs"`, `"softRemoval":true,"askWithinMs"`}
+	t := openUnchecked(soft...).list("a").txn(1, 2, 0).printRound().end(1, 0, "a", Committed, 2, 9990)
+	t.at(10010).g.ForgetMember(Server{'a'})
+	t.list("a").at(10020).g.ProbeEnded(Server{'a'}, Committed, Millis(15), []float64{10, 1})
+	t.txn(2, 0, 50).printRound().run(10100)
+	// Output:
+	// 10000 submit 1 to a
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -73,6 +73,7 @@
 	role                         Role
 	roleAt                       Nanos   // when an answer last reported the role
 	roleUnreadAt                 Nanos   // when a submission last ended whose answer may have reported another role; 0 if an answer came since
+	addedAt                      Nanos   // when a list after the first one named it
 	listedPrimary                bool    // the list names it as primary
 	inFlight                     int     // submissions in flight from this gateway
 	busy                         bool    // in Gateway.busyMembers
@@ -345,6 +346,9 @@
 	}
 	if !known {
 		m = &member{id: server}
+		if g.now > g.startedAt {
+			m.addedAt = g.now
+		}
 		g.members[server] = m
 	}
 	if m.group == nil || m.group.id != groupID {
@@ -358,6 +362,13 @@
 	return m, known
 }
 
+// ForgetMember deletes a member whose address another server has now: nothing that was known of it holds for that one.
+func (g *Gateway) ForgetMember(server Server) {
+	if m := g.members[server]; m != nil {
+		g.removeMember(m)
+	}
+}
+
 // removeMember deletes a removed member: a later server with its address is a different one. Submissions in
 // flight to the old entry still end there.
 func (g *Gateway) removeMember(m *member) {
--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -71,8 +71,9 @@
 	seq           int64 // version by the current discovery service
 	received      bool  // a list is known
 	hosts         map[string]host
-	knownGroups   map[int]bool    // all that were ever in the list
-	loggedUnknown map[string]bool // values that were logged as unknown
+	lastHosts     map[decide.Server]string // the last host at each address, also after it was removed
+	knownGroups   map[int]bool             // all that were ever in the list
+	loggedUnknown map[string]bool          // values that were logged as unknown
 }
 
 // host is an entry of the member list.
@@ -397,6 +398,10 @@
 		return
 	}
 	server := serverOf(address)
+	if last := ds.list.lastHosts[server]; last != "" && last != e.Host {
+		ds.g.module.ForgetMember(server)
+	}
+	ds.list.lastHosts[server] = e.Host
 	ds.list.hosts[e.Host] = host{server, e, fleet.MemberKey(e.Host)}
 	ds.list.knownGroups[e.Block] = true
 	if x := ds.g.coordination; x != nil && !x.coordination.Has(ds.list.hosts[e.Host].key) {
--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"magpieglade/decide"
+	"magpieglade/internal/pgwire"
 )
 
 // serveFrom answers all further queries on a connection as a replica at the present position.
@@ -69,3 +70,30 @@
 	stop()
 	<-ended
 }
+
+func TestPositionOfFormerServerProvesNothingOfTheNextAtItsAddress(t *testing.T) {
+	t.Parallel()
+	d, a := newScriptedServer(t), newScriptedServer(t)
+	g, ended, stop := startTestGatewayWith(t, func(c *Config) {
+		c.Settings = json.RawMessage(strings.NewReplacer(`"eventual"`, `"causal"`, `"await"`, `"none"`, `"rules":{`, `"rules":{"softRemoval":true,`).Replace(testSettings))
+	}, d, a.listEntry("former", "active"))
+	watch := d.accept(t)
+	watch.readCall(t)
+	c := connectClient(t, g)
+	c.sendTxn("any", 9000)
+	conn := a.acceptConnection(t)
+	conn.readQuery()
+	reached := time.Now().UnixMilli()
+	conn.sendRowAt("a", "read-only", reached)
+	c.readResponse()
+	watch.sendList(5, a.listEntry("next", "active"))
+	watch.readCall(t)
+	text := fmt.Sprintf("/* id=%016x,c=any,d=2000,cluster=0,after=%d */ SELECT data FROM facts WHERE code = '7f3a'", lastTestID.Add(1), reached)
+	_, _ = c.Write(pgwire.AppendQuery(nil, text))
+	served := a.serve("a", "read-only")
+	if got := c.readResponse(); got != "53300" || served.Load() > 0 {
+		t.Errorf("%s: sent to a server that is not known to have reached the position", got)
+	}
+	stop()
+	<-ended
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -127,6 +127,7 @@
 		}
 	}
 	g.discovery.list.hosts, g.discovery.list.knownGroups = map[string]host{}, map[int]bool{}
+	g.discovery.list.lastHosts = map[decide.Server]string{}
 	for i := range g.discovery.calls {
 		g.discovery.calls[i].kind = callKind(i)
 	}
