A mark from before the clock's zero is a mark

Callers could see: a session's read from any replica after a restart, if its last write was over a minute before the start: the age reached back to the zero of the clock, and a token of 0 means none. Found by reading. Result: Example_writeBeforeTheClocksZero failed before and passes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -123,7 +123,7 @@
 	switch g.settings.Replication.Consistency[class] {
 	case "causal":
 		if writeAge != 0 { // below 0 if the group's clock is ahead of this one
-			t.token = g.now - writeAge
+			t.token = max(1, g.now-writeAge) // 0 means none, so a write before the clock's zero counts as one at its start
 		}
 	case "strong":
 		t.token = g.now
--- a/decide/freshness_test.go
+++ b/decide/freshness_test.go
@@ -164,3 +164,12 @@
 	// Output:
 	// 10000 submit 1 to a
 }
+
+// A session's write from before the clock's zero is a write all the same.
+func Example_writeBeforeTheClocksZero() {
+	t := openUnchecked().list("a").txn(1, 0, 20_000).printRound().txn(2, 2, 0).printRound()
+	t.at(10010).end(2, 0, "a", Committed, 2, 5).printRound()
+	// Output:
+	// 10000 submit 2 to a
+	//  10010 submit 1 to a
+}
