--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -97,3 +97,25 @@
 	stop()
 	<-ended
 }
+
+func TestReportedPositionIsInSeconds(t *testing.T) {
+	g := &Gateway{clock: newClock(nil)}
+	g.names.LoadReport.Fields = []string{"x0", "x1"}
+	g.members.g = g
+	now := time.Now()
+	at := decide.Nanos(now.UnixMilli()-g.clock.zeroUnixMs) * decide.Millisecond
+	for text, provesPresent := range map[string]bool{
+		fmt.Sprintf("x0=%.3f,x1=1", float64(now.UnixMilli())/1000): true,
+		fmt.Sprintf("x0=%d,x1=1", now.UnixMilli()):                 false, // in another unit, it would be ahead of the clock
+		"x0=0,x1=1": false,
+	} {
+		report := g.members.parseLoadReport([]byte(text))
+		proven := decide.Nanos(0)
+		if report != nil {
+			proven = decide.Millis(report[0] * 1000)
+		}
+		if proven > at || provesPresent != (proven > at-2*decide.Millisecond) {
+			t.Errorf("%s proves %v at %v", text, proven, at)
+		}
+	}
+}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -23,6 +23,8 @@
 	minIdleBeforeReuse = 2 * decide.Millisecond
 	// All machines read the same clock, and a commit's position is rounded up. A position further ahead is ignored.
 	maxPositionLead = 5 * decide.Millisecond
+	// Milliseconds. Reports give positions in seconds with three decimals and do not say which way they are rounded.
+	reportRoundingMs = 1
 )
 
 // phase is the state of a member connection.
@@ -592,7 +594,7 @@
 			continue
 		}
 		if string(name) == "x0" {
-			at, ok := ms.localPosition(x)
+			at, ok := ms.localPosition(x*1000 - reportRoundingMs)
 			if !ok {
 				return nil
 			}
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -10,6 +10,9 @@
 	"magpieglade/session"
 )
 
+// fenceRounding is how far a commit's position, rounded up, may lie above the primary's in a report, rounded down.
+const fenceRounding = decide.Millisecond * (1 + reportRoundingMs)
+
 // sessionHost implements fleet.SessionHost: it routes reads, queries primaries for their positions and releases answers.
 type sessionHost struct{ g *Gateway }
 
@@ -91,8 +94,8 @@
 		}
 	}
 	position := session.Position(0)
-	if in.result == decide.Committed && reported > 0 {
-		position = g.sessionPosition(reported)
+	if in.result == decide.Committed && reported > 0 { // rounded down, while the commits that it must cover are rounded up
+		position = g.sessionPosition(reported + fenceRounding)
 	}
 	g.sessions.FenceCompleted(in.group, in.fenceAttempt, position, primary)
 }
