Metrics: what proved that a read's data is fresh enough, and reads that were withheld

Change: a decision to submit carries its proof; reads_sent_total by proof and reads_withheld_total. Result: tests of decide/ and internal/control pass; on the real wire not measured yet.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -770,7 +770,7 @@
 		m.trialInterval = min(m.trialInterval*2, maxTrialInterval)
 		m.nextTrialAt = g.now + m.trialInterval
 	}
-	d := Decision{Kind: Submit, Txn: t.id, Server: m.id, Expiry: t.expiry}
+	d := Decision{Kind: Submit, Txn: t.id, Server: m.id, Expiry: t.expiry, Proof: g.proofOf(t, m)}
 	if c := &g.settings.Classes[t.class]; c.Effect == "by_key" && t.firstPossibleRun() > 0 {
 		d.SendBefore = t.firstPossibleRun() + c.DedupWindow // establishing a connection may take long
 	}
--- a/decide/freshness.go
+++ b/decide/freshness.go
@@ -167,6 +167,22 @@
 	return isPrimary || m.position >= g.requiredPosition(t, now)
 }
 
+// proofOf is why a txn may be sent to a member now.
+func (g *Gateway) proofOf(t *txn, m *member) Proof {
+	required := g.requiredPosition(t, g.now)
+	switch {
+	case g.settings.Replication.Consistency[t.class] == "mutate":
+		return NoProof
+	case required <= 0:
+		return NoneRequired
+	case m == g.freshPrimary(t.group):
+		return AtPrimary
+	case m.position >= required:
+		return ProvenPosition
+	}
+	return CheckedByMember
+}
+
 // learnPosition records what a committed read proves on a member that checks reads: its token or staleness bound.
 func (g *Gateway) learnPosition(t *txn, s *submission, m *member) {
 	if !g.checksReads() {
--- a/decide/freshness_test.go
+++ b/decide/freshness_test.go
@@ -61,7 +61,7 @@
 	fmt.Println(t.g.Next())
 	// Output:
 	// 10000 submit 1 to b
-	// {0 0 0 0.0.0.0:0 0 0 0  []} false
+	// {0 0 0 0.0.0.0:0 0 0 none 0  []} false
 }
 
 // A read that has waited sees a write of its session that was answered meanwhile.
--- a/decide/interface.go
+++ b/decide/interface.go
@@ -64,6 +64,28 @@
 	return resultNames[r]
 }
 
+// Proof is why a read may be sent to a member.
+type Proof int
+
+const (
+	NoProof         Proof = iota // not a read
+	NoneRequired                 // any replica will do
+	ProvenPosition               // the member is known to have reached what the read must see
+	AtPrimary                    // the member is the primary, by the last that is known
+	CheckedByMember              // the member refuses the read if it is too far behind
+)
+
+// proofNames are the labels of proofs in logs and metrics.
+var proofNames = [...]string{NoProof: "none", NoneRequired: "none required", ProvenPosition: "position", AtPrimary: "primary",
+	CheckedByMember: "member checks"}
+
+func (p Proof) String() string {
+	if p < 0 || int(p) >= len(proofNames) {
+		return fmt.Sprintf("proof %d", int(p))
+	}
+	return proofNames[p]
+}
+
 // Role is the role that a member reports in its answer.
 type Role int
 
@@ -125,6 +147,7 @@
 	Server     Server
 	Expiry     Nanos
 	SendBefore Nanos // a submission must not be sent after this time; 0 for no limit
+	Proof      Proof // of a submission
 	Delay      Nanos
 	Text       string
 	Updates    []MemberUpdate
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -55,8 +55,10 @@
 	clientsClosed map[closeReason]uint64
 	unanswered    map[closeReason]uint64 // requests whose connection ended before their response
 	attempts      map[decide.Result]uint64
+	readsSent     map[decide.Proof]uint64
 	acceptErrors  map[string]uint64
 	dialErrors    map[string]uint64
+	readsWithheld uint64
 }
 
 func newOutcomes() outcomes {
@@ -64,6 +66,7 @@
 		clientsClosed: map[closeReason]uint64{},
 		unanswered:    map[closeReason]uint64{},
 		attempts:      map[decide.Result]uint64{},
+		readsSent:     map[decide.Proof]uint64{},
 		acceptErrors:  map[string]uint64{},
 		dialErrors:    map[string]uint64{},
 	}
@@ -74,6 +77,8 @@
 	ClientsClosed map[string]uint64 // client connections, by the reason of their close
 	Unanswered    map[string]uint64 // requests that got no final response, by the reason of their connection's close
 	Attempts      map[string]uint64 // attempts at members, by result
+	ReadsSent     map[string]uint64 // reads that were to be sent to members, by what proved their data fresh enough
+	ReadsWithheld uint64            // of those, such whose proof had aged when they were to be written
 	AcceptErrors  map[string]uint64 // failed accepts of client connections, by error
 	DialErrors    map[string]uint64 // failed connects to members and discovery, by error
 }
@@ -82,7 +87,9 @@
 	return Outcomes{
 		ClientsClosed: countsByReason(o.clientsClosed),
 		Unanswered:    countsByReason(o.unanswered),
-		Attempts:      countsByResult(o.attempts),
+		Attempts:      countsByLabel(o.attempts),
+		ReadsSent:     countsByLabel(o.readsSent),
+		ReadsWithheld: o.readsWithheld,
 		AcceptErrors:  maps.Clone(o.acceptErrors),
 		DialErrors:    maps.Clone(o.dialErrors),
 	}
@@ -96,10 +103,13 @@
 	return out
 }
 
-func countsByResult(counts map[decide.Result]uint64) map[string]uint64 {
+func countsByLabel[K interface {
+	comparable
+	fmt.Stringer
+}](counts map[K]uint64) map[string]uint64 {
 	out := make(map[string]uint64, len(counts))
-	for result, n := range counts {
-		out[result.String()] = n
+	for label, n := range counts {
+		out[label.String()] = n
 	}
 	return out
 }
--- a/gateway/txns.go
+++ b/gateway/txns.go
@@ -318,6 +318,9 @@
 		g.inputs = append(g.inputs, input{kind: inEnded, ref: ref, attempt: submissionNo, server: server, result: decide.NotSent})
 		return
 	}
+	if d.Proof != decide.NoProof {
+		g.outcomes.readsSent[d.Proof]++
+	}
 	job := job{txn: ref, submissionNo: submissionNo, startedAt: g.clock.now(), deadline: d.Expiry, sendBefore: d.SendBefore}
 	conn := g.members.startJob(server, job)
 	if t = g.txns.Get(ref); t != nil {
@@ -355,7 +358,11 @@
 // isStillFresh reports whether a job may be written now, as far as the age of its member's data is concerned.
 func (g *Gateway) isStillFresh(j *job, now decide.Nanos) bool {
 	t := g.txns.Get(j.txn)
-	return j.probe || t == nil || g.module.StillFresh(t.id, j.submissionNo, now)
+	if j.probe || t == nil || g.module.StillFresh(t.id, j.submissionNo, now) {
+		return true
+	}
+	g.outcomes.readsWithheld++
+	return false
 }
 
 // buildQuery returns a txn's query message for a member: byte for byte what the client sent, except for the budget, which
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -51,6 +51,8 @@
 	counter("txns_rolled_back_total", "Txns rolled back.", func(x *gateway.Stats) int { return x.RolledBack })
 	counter("txns_withdrawn_total", "Txns whose client went away.", func(x *gateway.Stats) int { return x.Withdrawn })
 	counter("txns_unagreed_total", "Of those declined, such that the fleet's agreement did not let this gateway decide.", func(x *gateway.Stats) int { return x.NoAgreement })
+	counter("reads_withheld_total", "Reads that were not written as what had proved their data fresh enough had aged.",
+		func(x *gateway.Stats) int { return int(x.Outcomes.ReadsWithheld) })
 	gauge := func(name, help string, value func(*gateway.Stats) float64) {
 		addMetric(name, help, prometheus.GaugeValue, func(x *gateway.Stats) (float64, bool) {
 			if x.Fleet == nil {
@@ -96,6 +98,8 @@
 		func(x *gateway.Outcomes) map[string]uint64 { return x.Unanswered })
 	countByLabel("attempts_total", "Attempts at members, by how they ended.", "result",
 		func(x *gateway.Outcomes) map[string]uint64 { return x.Attempts })
+	countByLabel("reads_sent_total", "Reads for members, by what proved that the member's data is fresh enough.", "proof",
+		func(x *gateway.Outcomes) map[string]uint64 { return x.ReadsSent })
 	countByLabel("accept_errors_total", "Failed accepts of client connections, by error.", "error",
 		func(x *gateway.Outcomes) map[string]uint64 { return x.AcceptErrors })
 	countByLabel("dial_errors_total", "Failed connects to members and discovery, by error.", "error",
