--- a/gateway/soak/clients_test.go
+++ b/gateway/soak/clients_test.go
@@ -22,6 +22,8 @@
 type request struct {
 	id      uint64
 	txnType string
+	session string
+	after   int64 // position that a session's read asks for, 0 for none
 	sentAt  time.Time
 	timeout time.Duration
 	leftAt  time.Time // when the client closed or cancelled; zero if it did neither
@@ -48,6 +50,8 @@
 	clients  sync.WaitGroup
 	mu       sync.Mutex
 	requests []*request
+	group    *replication
+	marks    string // writeMarks of the settings
 }
 
 func (l *clientLoad) record(r *request) {
@@ -107,22 +111,34 @@
 
 // newRequest draws a random type and timeout and records the request.
 func (l *clientLoad) newRequest(random *rand.Rand) *request {
-	txnType := []string{"any", "any", "any", "keyed", "once"}[random.IntN(5)]
-	r := &request{id: l.lastID.Add(1), txnType: txnType, timeout: time.Duration(100+random.IntN(900)) * time.Millisecond}
+	txnType := []string{"any", "session", "session", "bounded", "keyed", "once"}[random.IntN(6)]
+	r := &request{id: l.lastID.Add(1), txnType: txnType, timeout: time.Duration(100+random.IntN(900)) * time.Millisecond,
+		session: fmt.Sprintf("%016x", 1+random.IntN(sessionCount))}
+	if txnType == "session" && l.marks == "brought" {
+		r.after = l.group.lastCommit(r.session)
+	}
 	l.record(r)
 	return r
 }
 
+// sessionCount is how many sessions the clients share: few, so that reads follow writes closely.
+const sessionCount = 6
+
+func (r *request) isWrite() bool { return r.txnType == "keyed" || r.txnType == "once" }
+
 // statement returns the query message of the request.
 func (r *request) statement() string {
 	head := fmt.Sprintf("/* id=%016x,c=%s,d=%d,cluster=0", r.id, r.txnType, r.timeout.Milliseconds())
-	switch r.txnType {
-	case "any":
-		return message('Q', head+" */ SELECT data FROM facts WHERE code = '7f3a'\x00")
-	case "keyed":
+	if r.after > 0 {
+		head += fmt.Sprintf(",after=%d", r.after)
+	}
+	if r.txnType == "keyed" {
 		head += fmt.Sprintf(",k=%x", r.id)
 	}
-	return message('Q', head+" */ INSERT INTO facts (code, data) VALUES ('7f3a', '\\x9f03') RETURNING data\x00")
+	if !r.isWrite() {
+		return message('Q', head+" */ SELECT data FROM facts WHERE code = '"+r.session+"'\x00")
+	}
+	return message('Q', head+" */ INSERT INTO facts (code, data) VALUES ('"+r.session+"', '\\x9f03') RETURNING data\x00")
 }
 
 // readResponse reads the response to a request and reports whether the connection is still open. Responses come in
--- a/gateway/soak/soak_test.go
+++ b/gateway/soak/soak_test.go
@@ -32,16 +32,43 @@
 
 const settings = `{"classes":[
  {"effect":"repeatable","promiseMs":300,"hardLimitMs":1000,"worth":1,"name":"any"},
+ {"effect":"repeatable","promiseMs":300,"hardLimitMs":1000,"worth":1,"name":"session"},
+ {"effect":"repeatable","promiseMs":300,"hardLimitMs":1000,"worth":1,"name":"bounded"},
  {"effect":"by_key","group":"cell","windowMs":800,"promiseMs":500,"hardLimitMs":2000,"worth":4,"name":"keyed"},
  {"effect":"once","promiseMs":500,"hardLimitMs":2000,"worth":4,"name":"once"}],
- "familyInfo":{"consistency":["eventual","mutate","mutate"],"oldestDataMs":[0,0,0],"whenBehind":"await",
-  "writeMarks":"brought","roleInList":"none","countedFromMs":146484879.702,"waitMs":20,"answersStamped":true},
+ "familyInfo":{"consistency":["eventual","causal","lag_bound","mutate","mutate"],"oldestDataMs":[0,0,300,0,0],"whenBehind":"%CHECKS%",
+  "writeMarks":"%MARKS%","roleInList":"none","countedFromMs":146484879.702,"waitMs":20,"answersStamped":%STAMPED%},
  "fleetSize":2,"limits":{"cancelling":true,"maxAttempts":8,"mayDuplicate":false,"probes":true,"retryAfter":true,
   "connectTimeoutMs":250,"keepaliveMs":15000,"maxRetryAfterMs":1000},
- "loadReport":{"how":"none","fields":[]},"locality":0,"membershipMode":"ask","parties":[],
+ "loadReport":{"how":"%REPORTS%","fields":["x0","x1"]},"locality":0,"membershipMode":"ask","parties":[],
  "rules":{"askWithinMs":10000,"coldFrom":0.2,"coldMs":10000,"drainGraceMs":250,"fallMultiple":2,"overloadForMs":1000},
  "machineTypes":["m"],"zones":["a"],"tickMs":5}`
 
+// deployment is how members tell positions and check reads, drawn for each run.
+type deployment struct {
+	marks, checks, reports string // writeMarks, whenBehind and loadReport.how of the settings
+	stamped                bool   // every answer tells a position
+}
+
+// drawDeployment draws from all combinations; half of the runs have members that check nothing.
+func drawDeployment(random *rand.Rand) deployment {
+	pick := func(values ...string) string { return values[random.IntN(len(values))] }
+	return deployment{marks: pick("brought", "kept"), checks: pick("none", "none", "bounce", "await"),
+		reports: pick("answers", "probe", "none"), stamped: random.IntN(3) > 0}
+}
+
+func (d deployment) settings() string {
+	return strings.NewReplacer("%CHECKS%", d.checks, "%MARKS%", d.marks, "%REPORTS%", d.reports, "%STAMPED%", fmt.Sprint(d.stamped)).Replace(settings)
+}
+
+// wait is how long members hold a read for which they are behind.
+func (d deployment) wait() time.Duration {
+	if d.checks == "await" {
+		return 20 * time.Millisecond
+	}
+	return 0
+}
+
 // Durations of a run and bounds of the rules.
 const (
 	runDuration      = 2500 * time.Millisecond // until SIGTERM
@@ -53,6 +80,9 @@
 	leaveTolerance   = 100 * time.Millisecond // for an attempt after its client left
 	maxStopDuration  = 100 * time.Millisecond // for which SIGSTOP suspends the process
 	socketLimit      = 192
+	stalenessBound   = 300 * time.Millisecond // oldestDataMs of the bounded class
+	answerNotice     = 100 * time.Millisecond // after which an answer that was written counts as known
+	limitTolerance   = 50 * time.Millisecond  // on every time limit
 	maxDrainDelay    = drainGrace + 150*time.Millisecond
 )
 
@@ -63,6 +93,8 @@
 	random         *rand.Rand
 	dir            string
 	attempts       *attemptLog
+	rules          deployment
+	group          *replication
 	servers        []*server
 	discovery      *discovery
 	load           *clientLoad
@@ -101,7 +133,7 @@
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			t.Parallel()
 			p := &soakRun{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), dir: t.TempDir(),
-				attempts: &attemptLog{byID: map[uint64][]attempt{}}, exited: make(chan error, 1)}
+				attempts: &attemptLog{byID: map[uint64][]*attempt{}}, exited: make(chan error, 1)}
 			p.run()
 		})
 	}
@@ -154,17 +186,15 @@
 	var err error
 	p.discovery, err = newDiscovery()
 	p.must(err)
-	var hosts []map[string]any
-	for i, mode := range []string{"read-write", "read-only", "read-only"} {
-		s, err := newServer(fmt.Sprint("s", i), mode, p.attempts, rand.New(rand.NewPCG(p.seed, uint64(10+i))))
-		p.must(err)
-		p.servers = append(p.servers, s)
-		hosts = append(hosts, s.listEntry("active"))
+	faults := rand.New(rand.NewPCG(p.seed, 3))
+	p.rules, p.group = drawDeployment(faults), newReplication()
+	for i := range 3 {
+		p.addServer(i == 0, randomLag(faults), 0)
 	}
-	p.discovery.setHosts(hosts...)
+	p.discovery.setHosts(p.listEntries()...)
 	l, err := net.Listen("tcp4", "127.0.0.4:0")
 	p.must(err)
-	p.load = &clientLoad{address: l.Addr().String(), done: make(chan struct{})}
+	p.load = &clientLoad{address: l.Addr().String(), done: make(chan struct{}), group: p.group, marks: p.rules.marks}
 	p.must(l.Close())
 	p.writeConfig(0)
 	p.process = exec.Command(os.Args[0])
@@ -188,11 +218,32 @@
 	}
 }
 
+// addServer starts a server with data of the given age.
+func (p *soakRun) addServer(primary bool, lag, age time.Duration) {
+	i := len(p.servers)
+	name := fmt.Sprint("s", i)
+	p.group.add(name, primary, lag, age)
+	s, err := newServer(name, p.group, p.rules, p.attempts, rand.New(rand.NewPCG(p.seed, uint64(10+i))))
+	p.must(err)
+	p.servers = append(p.servers, s)
+}
+
+func (p *soakRun) listEntries() (entries []map[string]any) {
+	for _, s := range p.servers {
+		health := "active"
+		if s.name == p.drainingServer {
+			health = "leaving"
+		}
+		entries = append(entries, s.listEntry(health))
+	}
+	return entries
+}
+
 // writeConfig replaces the configuration file; discovery is at the address of this index.
 func (p *soakRun) writeConfig(addressIndex int) {
 	text, err := json.Marshal(map[string]any{"name": "n0", "listen": p.load.address, "discovery": p.discovery.listeners[addressIndex].Addr().String(),
 		"seed": strconv.FormatUint(p.seed, 16), "limits": map[string]any{"memory_mb": 192, "sockets": socketLimit}, "known": p.discovery.list(),
-		"settings": json.RawMessage(settings)})
+		"settings": json.RawMessage(p.rules.settings())})
 	p.must(err)
 	next := filepath.Join(p.dir, "next.json")
 	p.must(os.WriteFile(next, text, 0o600))
@@ -225,7 +276,7 @@
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(p.random.IntN(200)) * time.Millisecond)
 		duration := time.Duration(p.random.Int64N(int64(maxStopDuration)))
-		switch p.random.IntN(7) {
+		switch p.random.IntN(10) {
 		case 0:
 			p.writeConfig(p.random.IntN(2))
 			p.signal(syscall.SIGHUP)
@@ -247,6 +298,12 @@
 			p.servers[p.random.IntN(len(p.servers))].hang(5 * duration)
 		case 6:
 			p.drainReplica()
+		case 7:
+			p.group.freeze(p.servers[p.random.IntN(len(p.servers))].name, time.Duration(p.random.Int64N(int64(maxFreeze))))
+		case 8:
+			p.movePrimary(duration)
+		case 9:
+			p.joinReplica()
 		}
 	}
 }
@@ -276,14 +333,33 @@
 	p.must(unix.Prlimit(pid, unix.RLIMIT_NOFILE, &original, nil))
 }
 
+// movePrimary hangs the primary for a while and promotes another server.
+func (p *soakRun) movePrimary(duration time.Duration) {
+	for _, s := range p.servers {
+		if s.name == p.group.primary {
+			s.hang(duration)
+		}
+	}
+	p.group.promote(p.servers[p.random.IntN(2)].name, randomLag(p.random))
+}
+
+// joinReplica adds a replica with old data to the list, once per run; it catches up a while later.
+func (p *soakRun) joinReplica() {
+	if len(p.servers) > 3 {
+		return
+	}
+	p.addServer(false, randomLag(p.random), copyAge)
+	p.group.freeze(p.servers[3].name, maxFreeze)
+	p.discovery.setHosts(p.listEntries()...)
+}
+
 // drainReplica lists a replica as draining, once per run; the replica keeps running.
 func (p *soakRun) drainReplica() {
 	if p.drainingServer != "" {
 		return
 	}
-	replica := p.servers[2]
-	p.drainingServer = replica.name
-	p.discovery.setHosts(p.servers[0].listEntry("active"), p.servers[1].listEntry("active"), replica.listEntry("leaving"))
+	p.drainingServer = p.servers[2].name
+	p.discovery.setHosts(p.listEntries()...)
 }
 
 // shutDown sends SIGTERM and further signals, and fails if the process still runs at the earliest time at which the
@@ -330,7 +406,7 @@
 			p.t.Error(line)
 		}
 	}
-	p.t.Logf("%d requests %v, longest scheduling delay of this process %v", len(p.load.requests), counts, lag)
+	p.t.Logf("%+v: %d requests %v, longest scheduling delay of this process %v", p.rules, len(p.load.requests), counts, lag)
 	if p.t.Failed() {
 		p.t.Logf("rerun: %s=%d go test -count=1 -run TestSoak ./gateway/soak\n%s", envSeeds, p.seed, strings.Join(p.logLines, "\n"))
 	}
@@ -354,19 +430,23 @@
 }
 
 // checkAttempts checks the attempts that servers received for a request: how many, how late, and with which timeout.
-func (p *soakRun) checkAttempts(r *request, attempts []attempt, lag time.Duration) {
+func (p *soakRun) checkAttempts(r *request, attempts []*attempt, lag time.Duration) {
 	id := fmt.Sprintf("%016x", r.id)
-	slices.SortFunc(attempts, func(a, b attempt) int { return a.receivedAt.Compare(b.receivedAt) })
-	if r.txnType == "once" && len(attempts) > 1 {
-		p.t.Errorf("request %s, once only, reached servers %d times", id, len(attempts))
+	slices.SortFunc(attempts, func(a, b *attempt) int { return a.receivedAt.Compare(b.receivedAt) })
+	executed := slices.DeleteFunc(slices.Clone(attempts), func(a *attempt) bool { return a.missed })
+	if r.txnType == "once" && len(executed) > 1 {
+		p.t.Errorf("request %s, once only, was executed by servers %d times", id, len(executed))
 	}
-	if r.result == "53300" && r.txnType != "any" && len(attempts) > 0 {
-		p.t.Errorf("request %s was rejected but reached a server", id)
+	if r.result == "53300" && r.isWrite() && len(executed) > 0 {
+		p.t.Errorf("request %s was rejected but a server executed it", id)
 	}
-	for i, a := range attempts {
-		if elapsed := a.receivedAt.Sub(attempts[0].receivedAt); r.txnType == "keyed" && elapsed > dedupWindow+lag {
-			p.t.Errorf("request %s, keyed, reached %s %v after its first attempt", id, a.server, elapsed)
+	for i, a := range executed {
+		if elapsed := a.receivedAt.Sub(executed[0].receivedAt); r.txnType == "keyed" && elapsed > dedupWindow+lag {
+			p.t.Errorf("request %s, keyed, reached %s %v after its first attempt (%d)", id, a.server, elapsed, i)
 		}
+		p.checkFreshness(id, a, lag)
+	}
+	for i, a := range attempts {
 		if remaining := r.sentAt.Add(r.timeout).Sub(a.receivedAt); a.timeout > remaining+timeoutTolerance+lag {
 			p.t.Errorf("request %s: %s received a timeout of %v, but its client waits %v", id, a.server, a.timeout, remaining)
 		}
@@ -378,3 +458,23 @@
 		}
 	}
 }
+
+// checkFreshness checks that a read was served from data that its type allows.
+func (p *soakRun) checkFreshness(id string, a *attempt, lag time.Duration) {
+	if a.position == 0 || p.group.mayBeTakenForPrimary(a.server, a.receivedAt.Add(-lag), answerNotice) {
+		return
+	}
+	required := int64(0)
+	switch {
+	case a.txnType == "bounded":
+		required = a.receivedAt.Add(-stalenessBound - limitTolerance - lag).UnixMilli()
+	case a.txnType == "session" && p.rules.marks == "brought":
+		required = a.after
+	case a.txnType == "session":
+		required = p.group.required(a.session, a.receivedAt.Add(-lag), answerNotice)
+	}
+	if a.position < required {
+		p.t.Errorf("stale read: request %s, type %s, session %s: %s responded from data %d ms older than allowed, received %v before SIGTERM",
+			id, a.txnType, a.session, a.server, required-a.position, p.terminatedAt.Sub(a.receivedAt))
+	}
+}
