A floor set by other gateways' writes does not hide this gateway's own memory of a session

Callers could see: where marks are kept and the operator's file has sessions, a read past a write here that broke off. Cause: requiredPosition took what is remembered only without a token. Found by reading. Result: Example_floorBesideWriteThatBrokeOff failed before (read 2 went to b) and passes.

--- a/decide/freshness.go
+++ b/decide/freshness.go
@@ -85,8 +85,8 @@
 	case "lag_bound":
 		return at - Nanos((1-stalenessMargin)*float64(g.settings.Replication.MaxStaleness[t.class]))
 	case "causal":
-		if g.remembersWrites() && t.token == 0 {
-			return t.group.sessionPosition(t.session, at, g.checksReads())
+		if g.remembersWrites() { // beside a floor that other gateways' writes set
+			return max(t.token, t.group.sessionPosition(t.session, at, g.checksReads()))
 		}
 	}
 	return t.token
--- a/decide/freshness_test.go
+++ b/decide/freshness_test.go
@@ -64,6 +64,16 @@
 	// {0 0 0 0.0.0.0:0 0 0 none 0  []} false
 }
 
+// A floor by the writes at other gateways does not hide a write that broke off here.
+func Example_floorBesideWriteThatBrokeOff() {
+	t := openRemembering().list("a* b").txn(1, 3, 0).txn(3, 2, 0).printRound().end(3, 0, "b", Committed, 2, 9999)
+	t.at(10010).end(1, 0, "a", Broken, 0, 0).txn(2, 0, 50).printRound()
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 submit 3 to b
+	//  10010 roll back 1
+}
+
 // A read that has waited sees a write of its session that was answered meanwhile.
 func Example_writeAnsweredWhileReadWaits() {
 	t := openRemembering().list("a* b").txn(1, 3, 0).txn(3, 2, 0).printRound().end(3, 0, "b", Committed, 2, 9999)
