Bounds allow for clocks that are ahead by the operator's clock_error

Callers could see: where members check nothing and their clocks are ahead, bounded reads older than the bound by up to clock_error, as the positions that prove them come from those clocks. Off without an operator's file. Found by reading. Change: bounds given to the module are shorter by clock_error there. Result: TestBoundAllowsForClocksAhead failed before (300) and passes.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -198,7 +198,8 @@
 
 // moduleSettings returns the settings for the decision module: positions count from the clock's zero, as this gateway
 // reports them, and limits.peers is true only if the operator enables peers, since the platform merely permits them.
-func moduleSettings(settings json.RawMessage, peers bool) ([]byte, error) {
+// Where members do not check reads, bounds are shortened by the clock error: a position may come from a clock that is ahead.
+func moduleSettings(settings json.RawMessage, peers bool, clockError time.Duration) ([]byte, error) {
 	var all, family, limits map[string]json.RawMessage
 	if err := json.Unmarshal(settings, &all); err != nil {
 		return nil, fmt.Errorf("configuration: settings: %w", err)
@@ -210,6 +211,20 @@
 		return nil, fmt.Errorf("configuration: settings.limits: %w", err)
 	}
 	family["countedFromMs"] = json.RawMessage("0")
+	if string(family["whenBehind"]) == `"none"` && clockError > 0 {
+		var bounds []float64
+		if err := json.Unmarshal(family["oldestDataMs"], &bounds); err != nil {
+			return nil, fmt.Errorf("configuration: settings.familyInfo.oldestDataMs: %w", err)
+		}
+		for i := range bounds {
+			bounds[i] = max(0, bounds[i]-float64(clockError)/float64(time.Millisecond))
+		}
+		shortened, err := json.Marshal(bounds)
+		if err != nil {
+			return nil, err
+		}
+		family["oldestDataMs"] = shortened
+	}
 	limits["peers"] = json.RawMessage(strconv.FormatBool(peers))
 	var err error
 	if all["limits"], err = json.Marshal(limits); err != nil {
--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -98,6 +98,16 @@
 	<-ended
 }
 
+func TestBoundAllowsForClocksAhead(t *testing.T) {
+	const text = `{"familyInfo":{"oldestDataMs":[0,300],"whenBehind":%q},"limits":{}}`
+	for checks, want := range map[string]string{"none": "[0,100]", "await": "[0,300]"} {
+		settings, err := moduleSettings(json.RawMessage(fmt.Sprintf(text, checks)), false, 200*time.Millisecond)
+		if err != nil || !strings.Contains(string(settings), `"oldestDataMs":`+want) {
+			t.Errorf("checks %s: %s, %v", checks, settings, err)
+		}
+	}
+}
+
 func TestReportedPositionIsInSeconds(t *testing.T) {
 	g := &Gateway{clock: newClock(nil)}
 	g.names.LoadReport.Fields = []string{"x0", "x1"}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	settings, err := moduleSettings(c.Settings, c.Sessions != nil && c.Sessions.SharePositions || c.Coordination != nil && c.Coordination.Signals)
+	settings, err := moduleSettings(c.Settings, c.Sessions != nil && c.Sessions.SharePositions || c.Coordination != nil && c.Coordination.Signals, c.ClockError)
 	if err != nil {
 		return nil, err
 	}
