Other gateways are told of a primary only by one that read its last answer

Callers could see: where gateways tell each other positions, reads at a former primary on the word of a gateway that gave up on it. Cause: updates carried the role without regard to unread answers. Result: Example_updateAfterUnreadAnswer failed before (true) and passes; an entry for sessions without writes is no longer allocated per look.

--- a/decide/freshness.go
+++ b/decide/freshness.go
@@ -1,7 +1,5 @@
 package decide
 
-import "cmp"
-
 // This file holds what a read must see and what proves that a member has it. A value that is missing, late or from
 // another server proves nothing: what is not proven counts as not reached.
 
@@ -15,6 +13,9 @@
 	inFlight  int   // submissions that have not ended
 }
 
+// noWrites stands for a session that is not remembered; it is never changed.
+var noWrites sessionWrites
+
 // latest is the position up to which the session's ended writes may have been committed.
 func (w *sessionWrites) latest() Nanos { return max(w.committed, w.possible) }
 
@@ -96,7 +97,10 @@
 // writes, 0 if every replica is known to have reached it (step 2). Members that check reads enforce what the session
 // was answered, and no more.
 func (grp *group) sessionPosition(session uint64, at Nanos, checked bool) Nanos {
-	w := cmp.Or(grp.writes[session], new(sessionWrites))
+	w := grp.writes[session]
+	if w == nil {
+		w = &noWrites
+	}
 	required := w.committed
 	if !checked {
 		required = max(w.latest(), grp.forgotten)
--- a/decide/freshness_test.go
+++ b/decide/freshness_test.go
@@ -112,6 +112,21 @@
 	//  10510 submit 2 to b
 }
 
+// Other gateways are not told that a member is the primary by one whose last answer from it was not read.
+func Example_updateAfterUnreadAnswer() {
+	t := openUnchecked(`"mayDuplicate"`, `"peers":true,"mayDuplicate"`).list("a").txn(1, 2, 0).txn(2, 2, 0).printRound()
+	t.at(10010).end(1, 0, "a", Committed, 1, 9000).end(2, 0, "a", TimedOut, 0, 0)
+	for d, ok := t.g.Next(); ok; d, ok = t.g.Next() {
+		for _, update := range d.Updates {
+			fmt.Println(update.Position/Millisecond, update.Primary)
+		}
+	}
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 submit 2 to a
+	// 9000 false
+}
+
 // An answer that was under way while its member said that it is no primary does not make it one again.
 func Example_lateAnswerOfFormerPrimary() {
 	t := openUnchecked().list("a").txn(1, 2, 0).txn(2, 2, 0).printRound()
--- a/decide/state.go
+++ b/decide/state.go
@@ -686,7 +686,7 @@
 	}
 	d := Decision{Kind: SendUpdates}
 	for _, m := range g.pendingUpdates {
-		d.Updates = append(d.Updates, MemberUpdate{m.id, m.position, m.role == RolePrimary})
+		d.Updates = append(d.Updates, MemberUpdate{m.id, m.position, m.isProvenPrimary()})
 		m.updatePending, m.sharedPosition = false, m.position
 	}
 	g.pendingUpdates = g.pendingUpdates[:0]
