A commit's position, rounded up, does not prove that its member reached it

Cause: the position in a write's answer is rounded up; taken as its member's own it covers what the next primary commits in the same millisecond. The stand-in rounds a former primary's position down, so that its data may have held the commit: numbers can't tell, which is the point. Result: Example_commitOfNextPrimaryInTheSameMillisecond failed before and passes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -159,7 +159,7 @@
 		m.roleUnreadAt = g.now
 	}
 	role = g.answeredRole(s, r, role, position)
-	g.recordAnswer(m, role, position)
+	g.recordAnswer(m, role, g.provenPosition(t, r, position))
 	g.recordReport(m, report, role)
 	if role == RolePrimary && g.settings.Replication.WhenBehind != "none" {
 		m.advancePosition(s.sentAt) // a primary's position is the present
--- a/decide/freshness.go
+++ b/decide/freshness.go
@@ -6,6 +6,9 @@
 // answerNoticeTime is less than the 100 ms after which an answer that was written counts as known, read or not.
 const answerNoticeTime = 50 * ms
 
+// commitRounding is how far a commit's position may lie above its time.
+const commitRounding = 1 * ms
+
 // sessionWrites is what a gateway remembers of a session's writes in a group.
 type sessionWrites struct {
 	committed Nanos // latest commit position told in an answer
@@ -219,6 +222,15 @@
 	return role
 }
 
+// provenPosition is the position that an answer proves of its member. A commit's is rounded up, and another primary may
+// commit before it is reached.
+func (g *Gateway) provenPosition(t *txn, r Result, position Nanos) Nanos {
+	if r == Committed && g.settings.Replication.Consistency[t.class] == "mutate" {
+		return max(0, position-commitRounding)
+	}
+	return position
+}
+
 // recordAnswer applies the role and position of an answer.
 func (g *Gateway) recordAnswer(m *member, role Role, position Nanos) {
 	if role != RoleUnknown {
--- a/decide/freshness_test.go
+++ b/decide/freshness_test.go
@@ -137,6 +137,16 @@
 	//  10000 submit 2 to a
 }
 
+// A commit's position is rounded up: it does not prove that its member has what the next primary commits before it.
+func Example_commitOfNextPrimaryInTheSameMillisecond() {
+	t := openUnchecked().list("a").txn(1, 3, 0).printRound().at(10006).end(1, 0, "a", Committed, 1, 10005)
+	t.txn(2, 3, 0).printRound().g.ClientGone(2)
+	t.at(10010).end(2, 0, "a", NotEligible, 2, 10004).txn(3, 0, 5).printRound()
+	// Output:
+	// 10000 submit 1 to a
+	//  10006 submit 2 to a
+}
+
 // A member that refuses a write is no primary, whether or not it says so.
 func Example_refusalWithoutRole() {
 	t := openUnchecked().list("a").txn(1, 3, 0).printRound().end(1, 0, "a", Committed, 1, 9990)
