A request for which there is no memory is rejected in its turn; the connection stays

The error stood for the answer of the write that was out at the primary, which ran, and ran again when it was tried again; all that had been read behind it got no answer.

Cause: readClient met lack of memory by closing the connection, before it looked at the open txn, and closeWithError withdrew that txn itself.

Change: what is beyond a client's share of the memory is dropped message by message as it arrives, its kinds are kept, and each is answered in its turn, a query by 53300. A fatal error waits while a txn is open, so it can't be taken for its answer. Why it works: a query that was dropped can't have been submitted, and no connection is ended for memory while it may hold requests. Messages beyond 4096 dropped ones on a connection end it once those are answered.

--- /dev/null
+++ b/gateway/clientinput.go
@@ -0,0 +1,212 @@
+package gateway
+
+import (
+	"io"
+	"slices"
+
+	"magpieglade/decide"
+	"magpieglade/internal/pgwire"
+	"magpieglade/internal/slots"
+)
+
+// Input that a client has sent and the gateway has not processed. A request that was read is owed its answer, so input for
+// which there is no memory does not end the connection: its messages are dropped as they arrive, and each is answered in
+// its turn, a query by a rejection, as nothing of it was sent to any member.
+
+// droppedInput is what a client sent beyond its share of the memory. While a client has one, all that arrives is dropped.
+type droppedInput struct {
+	kept    []byte         // whole messages from before it, which are processed first
+	kinds   []byte         // kinds of the dropped messages that are not answered yet, in the order of their arrival
+	scanner pgwire.Scanner // follows the message that is being dropped
+}
+
+// unprocessed returns how many bytes of input are to be processed.
+func (c *client) unprocessed() int {
+	if c.dropped != nil {
+		return len(c.dropped.kept)
+	}
+	return c.conn.InboundBuffered()
+}
+
+// peek returns the first size bytes of the input without consuming them.
+func (c *client) peek(size int) ([]byte, error) {
+	if c.dropped == nil {
+		return c.conn.Peek(size)
+	}
+	if size > len(c.dropped.kept) {
+		return nil, io.ErrShortBuffer
+	}
+	return c.dropped.kept[:size], nil
+}
+
+// allowedInput returns how many bytes of input a client may hold, besides its unsent responses.
+func (cs *clients) allowedInput(c *client) int {
+	memory := cs.g.config.Limits.MemoryMB << 20
+	others := cs.bufferedBytes - c.bufferedBytes
+	share := max(memory/bufferMemoryDivisor-others, guaranteedBufferSize)
+	return min(share, max(memory/clientInputMemoryDivisor, maxMessageSize)) - c.conn.OutboundBuffered()
+}
+
+// limitInput counts a client's buffers and drops the input that is beyond its share of the memory. It returns false if the
+// connection ends by it.
+func (cs *clients) limitInput(ref slots.Ref, c *client) bool {
+	c.recordArrival(c.unprocessed(), cs.g.clock.now())
+	if c.dropped != nil {
+		cs.dropArrived(c)
+	} else if allowed := cs.allowedInput(c); c.conn.InboundBuffered() > allowed {
+		if !c.admitted { // no request can have been taken
+			cs.closeWithError(ref, "53300", "no memory for more")
+			return false
+		}
+		cs.dropBeyond(c, allowed)
+	}
+	buffered := c.unprocessed() + c.conn.OutboundBuffered()
+	if c.dropped != nil {
+		buffered += len(c.dropped.kinds)
+	}
+	cs.bufferedBytes += buffered - c.bufferedBytes
+	c.bufferedBytes = buffered
+	return true
+}
+
+// dropBeyond begins to drop a client's input. The whole messages within the allowed size are kept, and so is the query of
+// an open txn.
+func (cs *clients) dropBeyond(c *client, allowed int) {
+	if t := cs.g.txns.Get(c.txn); t != nil {
+		allowed = max(allowed, t.querySize)
+	}
+	input, err := c.conn.Peek(-1)
+	if err != nil {
+		return
+	}
+	size := sizeOfWholeMessages(input, allowed)
+	if size == len(input) {
+		return
+	}
+	c.dropped = &droppedInput{kept: slices.Clone(input[:size])}
+	if size > 0 { // a discard of 0 bytes discards all
+		_, _ = c.conn.Discard(size)
+	}
+	for i := range c.arrivals {
+		c.arrivals[i].upTo = min(c.arrivals[i].upTo, c.consumedBytes+int64(size))
+	}
+	cs.dropArrived(c)
+}
+
+// sizeOfWholeMessages returns the size of the whole messages at the beginning of the input that fit into a maximum size.
+func sizeOfWholeMessages(input []byte, maxSize int) (total int) {
+	for {
+		_, _, size, err := pgwire.ReadMessage(input[total:], maxMessageSize)
+		if err != nil || size == 0 || total+size > maxSize {
+			return total
+		}
+		total += size
+	}
+}
+
+// dropArrived drops what has arrived and records which messages it ended. Once the stream cannot be followed, or too many
+// responses are owed, the connection is to be closed after those that are recorded.
+func (cs *clients) dropArrived(c *client) {
+	arrived, err := c.conn.Peek(-1)
+	if err != nil || len(arrived) == 0 {
+		return
+	}
+	d := c.dropped
+	if c.fatalError == nil {
+		d.kinds, err = d.scanner.Scan(d.kinds, arrived, maxMessageSize)
+		switch {
+		case err != nil:
+			c.fatalError = &fatalError{"08P01", "malformed message"}
+		case len(d.kinds) > maxDroppedMessages:
+			c.fatalError = &fatalError{"08P01", "too much sent ahead"}
+		}
+	}
+	_, _ = c.conn.Discard(len(arrived))
+}
+
+// answerDropped answers the dropped messages of a client that has its responses to all that came before them. It returns
+// false if there is nothing more to process.
+func (cs *clients) answerDropped(ref slots.Ref, c *client) bool {
+	d := c.dropped
+	for len(d.kinds) > 0 {
+		kind := d.kinds[0]
+		d.kinds = d.kinds[1:]
+		if kind == 'Q' {
+			cs.rejectDroppedQuery(c)
+		} else if !cs.readOtherMessage(ref, c, kind) {
+			return false
+		}
+		if c = cs.conns.Get(ref); c == nil {
+			return false
+		}
+		if c.conn.OutboundBuffered() > 0 {
+			return true // the rest follows once the client has read these
+		}
+	}
+	switch {
+	case c.fatalError != nil:
+		cs.closeWithError(ref, c.fatalError.code, c.fatalError.message)
+		return false
+	case d.scanner.InMessage():
+		cs.enterStage(ref, c, stagePartialMessage)
+		return false
+	}
+	c.dropped = nil
+	return true
+}
+
+// rejectDroppedQuery answers a query that was dropped: no member got it, so its client may safely send it again.
+func (cs *clients) rejectDroppedQuery(c *client) {
+	c.hasQueried = true
+	cs.g.counts.taken++
+	cs.g.counts.declined++
+	cs.g.outcomes.queriesDropped++
+	out := pgwire.AppendError(cs.g.scratch[:0], "ERROR", "53300", "no memory for more, trying again does no harm", "")
+	cs.writeClient(c, pgwire.AppendReadyForQuery(out))
+}
+
+// arrival is the time by which a client's bytes up to an offset had arrived.
+type arrival struct {
+	upTo int64
+	at   decide.Nanos
+}
+
+// maxArrivals is how many arrivals are kept per client; later bytes count as having arrived with the last of them.
+const maxArrivals = 32
+
+// recordArrival records the arrival time of the bytes that are new in the buffer, which now holds waiting bytes.
+func (c *client) recordArrival(waiting int, now decide.Nanos) {
+	total := c.consumedBytes + int64(waiting)
+	switch n := len(c.arrivals); {
+	case n > 0 && c.arrivals[n-1].upTo >= total:
+	case n == maxArrivals:
+		c.arrivals[n-1].upTo = total
+	default:
+		c.arrivals = append(c.arrivals, arrival{total, now})
+	}
+}
+
+// consume discards the first size bytes of the buffer, which have been processed.
+func (c *client) consume(size int) {
+	if c.dropped != nil {
+		c.dropped.kept = c.dropped.kept[size:]
+	} else {
+		_, _ = c.conn.Discard(size)
+	}
+	c.consumedBytes += int64(size)
+	consumed := 0
+	for consumed < len(c.arrivals) && c.arrivals[consumed].upTo <= c.consumedBytes {
+		consumed++
+	}
+	c.arrivals = slices.Delete(c.arrivals, 0, consumed)
+}
+
+// queuedFor returns how long the first size bytes of the buffer have been waiting behind another query or its response.
+func (c *client) queuedFor(size int, now decide.Nanos) decide.Nanos {
+	for _, a := range c.arrivals {
+		if a.upTo >= c.consumedBytes+int64(size) {
+			return now - a.at
+		}
+	}
+	return 0
+}
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -6,7 +6,6 @@
 	"crypto/rand"
 	"crypto/subtle"
 	"encoding/binary"
-	"slices"
 	"strconv"
 
 	"github.com/panjf2000/gnet/v2"
@@ -26,6 +25,7 @@
 	bufferMemoryDivisor      = 4         // all clients' buffers may fill 1/4 of the memory limit
 	guaranteedBufferSize     = 32 << 10  // bytes that a client may hold even when those buffers are full
 	maxDiscardedBytes        = 256 << 10 // bytes read from a client while it is being closed
+	maxDroppedMessages       = 4096      // messages dropped for lack of memory that one client may be owed responses to
 	maxConsecutiveErrors     = 8         // invalid statements in a row, after which a client is disconnected
 )
 
@@ -97,51 +97,11 @@
 	allocatorResponsesSeen int       // allocator responses received when that wait began or was renewed
 	connectionLimit        uint64    // key of the fleet-wide connection limit that it counts against, 0 for none
 	cancelKey              pgwire.CancelKey
-	consumedBytes          int64       // input bytes already processed
-	arrivals               []arrival   // arrival times of the bytes after those, oldest first
-	closeReason            closeReason // why the gateway closes the connection, empty while it stays open
-}
-
-// arrival is the time by which a client's bytes up to an offset had arrived.
-type arrival struct {
-	upTo int64
-	at   decide.Nanos
-}
-
-// maxArrivals is how many arrivals are kept per client; later bytes count as having arrived with the last of them.
-const maxArrivals = 32
-
-// recordArrival records the arrival time of the bytes that are new in the buffer, which now holds waiting bytes.
-func (c *client) recordArrival(waiting int, now decide.Nanos) {
-	total := c.consumedBytes + int64(waiting)
-	switch n := len(c.arrivals); {
-	case n > 0 && c.arrivals[n-1].upTo >= total:
-	case n == maxArrivals:
-		c.arrivals[n-1].upTo = total
-	default:
-		c.arrivals = append(c.arrivals, arrival{total, now})
-	}
-}
-
-// consume discards the first size bytes of the buffer, which have been processed.
-func (c *client) consume(size int) {
-	_, _ = c.conn.Discard(size)
-	c.consumedBytes += int64(size)
-	consumed := 0
-	for consumed < len(c.arrivals) && c.arrivals[consumed].upTo <= c.consumedBytes {
-		consumed++
-	}
-	c.arrivals = slices.Delete(c.arrivals, 0, consumed)
-}
-
-// queuedFor returns how long the first size bytes of the buffer have been waiting behind another query or its response.
-func (c *client) queuedFor(size int, now decide.Nanos) decide.Nanos {
-	for _, a := range c.arrivals {
-		if a.upTo >= c.consumedBytes+int64(size) {
-			return now - a.at
-		}
-	}
-	return 0
+	consumedBytes          int64         // input bytes already processed
+	arrivals               []arrival     // arrival times of the bytes after those, oldest first
+	dropped                *droppedInput // what it sent beyond its share of the memory, nil while nothing of that is unanswered
+	fatalError             *fatalError   // to be sent once all that was read before it is answered, nil for none
+	closeReason            closeReason   // why the gateway closes the connection, empty while it stays open
 }
 
 func (cs *clients) clientOpened(c gnet.Conn, o *owner) ([]byte, gnet.Action) {
@@ -232,7 +192,7 @@
 // would look accepted to the client and never be answered.
 func (cs *clients) closeUnlessUnread(c *client, reason closeReason) {
 	n, err := peek(c.conn.Fd())
-	if err == nil && n > 0 || c.conn.InboundBuffered() > 0 {
+	if err == nil && n > 0 || c.conn.InboundBuffered() > 0 || c.dropped != nil {
 		return
 	}
 	cs.close(c, reason)
@@ -275,9 +235,7 @@
 func (cs *clients) withdrawTxn(c *client) {
 	if t := cs.g.txns.Get(c.txn); t != nil && !t.answered {
 		t.answered = true
-		if !c.closeReason.errorSent() {
-			cs.g.recordUnanswered(t, c.closeReason)
-		}
+		cs.g.recordUnanswered(t, c.closeReason)
 		cs.g.inputs = append(cs.g.inputs, input{kind: inWithdrawn, ref: c.txn})
 	}
 	c.txn = slots.Ref{}
@@ -382,13 +340,20 @@
 	}
 }
 
-// closeWithError sends a fatal error, which also answers an open query, and closes the connection. The client is given
-// lingerTimeout to read the error: a close with unread input resets the connection, and the error just written may be
-// lost with it.
+// fatalError is an error after which a connection is closed.
+type fatalError struct{ code, message string }
+
+// closeWithError sends a fatal error and closes the connection. While a txn is open the error waits for its answer, so that
+// it is never taken for one. The client is given lingerTimeout to read the error: a close with unread input resets the
+// connection, and the error just written may be lost with it.
 func (cs *clients) closeWithError(ref slots.Ref, code, message string) {
 	c := cs.conns.Get(ref)
+	if cs.g.txns.Get(c.txn) != nil {
+		c.fatalError = &fatalError{code, message}
+		return
+	}
 	c.closeReason = closedWithErrorCode + closeReason(code)
-	cs.withdrawTxn(c)
+	c.dropped = nil
 	cs.enterStage(ref, c, stageClosing)
 	cs.writeClient(c, pgwire.AppendError(cs.g.scratch[:0], "FATAL", code, message, ""))
 	if c = cs.conns.Get(ref); c == nil {
@@ -430,29 +395,29 @@
 			cs.discardInput(c)
 			return
 		}
-		waiting, out := c.conn.InboundBuffered(), c.conn.OutboundBuffered()
-		c.recordArrival(waiting, cs.g.clock.now())
-		cs.bufferedBytes += waiting + out - c.bufferedBytes
-		c.bufferedBytes = waiting + out
-		// Requests that were read are accepted: closing the connection would lose them all. So only memory limits them.
-		memory := cs.g.config.Limits.MemoryMB << 20
-		if waiting > max(memory/clientInputMemoryDivisor, maxMessageSize) {
-			cs.closeWithError(ref, "08P01", "too much sent ahead")
-			return
-		}
-		if cs.bufferedBytes > memory/bufferMemoryDivisor && c.bufferedBytes > guaranteedBufferSize {
-			cs.closeWithError(ref, "53300", "no memory for more")
+		if !cs.limitInput(ref, c) {
 			return
 		}
 		if cs.g.txns.Get(c.txn) != nil {
 			cs.enterStage(ref, c, stageInTxn)
 			return
 		}
-		if out > 0 { // a slow reader gets no further responses until it has read these
+		if c.conn.OutboundBuffered() > 0 { // a slow reader gets no further responses until it has read these
 			cs.enterStage(ref, c, stageUnreadOutput)
 			cs.pollLater(ref, c)
 			return
 		}
+		waiting := c.unprocessed()
+		if waiting == 0 && c.dropped != nil {
+			if !cs.answerDropped(ref, c) {
+				return
+			}
+			continue
+		}
+		if c.fatalError != nil && c.dropped == nil {
+			cs.closeWithError(ref, c.fatalError.code, c.fatalError.message)
+			return
+		}
 		// A query that was read, even in part, is served; one still in transit is sent again elsewhere.
 		if cs.g.closingClients && waiting == 0 && c.hasQueried { // a new connection resends the query that crossed the end of the last one
 			cs.closeAfterResponses(ref)
@@ -462,12 +427,12 @@
 			cs.enterStage(ref, c, c.silentStage())
 			return
 		}
-		buf, err := c.conn.Peek(min(waiting, pgwire.HeaderSize))
+		buf, err := c.peek(min(waiting, pgwire.HeaderSize))
 		if err == nil && c.admitted && waiting > pgwire.HeaderSize {
 			// Peek at no more than one message: a ring buffer that wraps is copied.
-			buf, err = c.conn.Peek(min(waiting, pgwire.MessageSize(buf)))
+			buf, err = c.peek(min(waiting, pgwire.MessageSize(buf)))
 		} else if err == nil && !c.admitted {
-			buf, err = c.conn.Peek(min(waiting, pgwire.MaxStartupPacketSize))
+			buf, err = c.peek(min(waiting, pgwire.MaxStartupPacketSize))
 		}
 		if err != nil {
 			return
@@ -554,12 +519,22 @@
 	if size == 0 {
 		return 0
 	}
-	switch kind {
-	case 'Q':
+	if kind == 'Q' {
 		return cs.readQuery(ref, c, body, size)
+	}
+	if !cs.readOtherMessage(ref, c, kind) {
+		return 0
+	}
+	return size
+}
+
+// readOtherMessage processes a message that is no query, of which the kind is all that matters. It returns false if the
+// connection ends by it.
+func (cs *clients) readOtherMessage(ref slots.Ref, c *client, kind byte) bool {
+	switch kind {
 	case 'X':
 		cs.close(c, closedTerminated)
-		return 0
+		return false
 	case 'S': // Sync
 		c.skippingToSync = false
 		cs.writeClient(c, pgwire.AppendReadyForQuery(cs.g.scratch[:0]))
@@ -574,9 +549,9 @@
 		}
 	default:
 		cs.closeWithError(ref, "08P01", "unknown message "+strconv.QuoteRune(rune(kind)))
-		return 0
+		return false
 	}
-	return size
+	return true
 }
 
 // readQuery processes a query and returns its size, or 0 if it stays in the buffer. A txn's query stays there, where each
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"strings"
 	"syscall"
 
 	"magpieglade/decide"
@@ -33,11 +32,6 @@
 	return r == closedByClient || r == closedTerminated
 }
 
-// errorSent reports whether the client was sent an error before its connection was closed.
-func (r closeReason) errorSent() bool {
-	return strings.HasPrefix(string(r), string(closedWithErrorCode))
-}
-
 // closeReasonFor derives the reason of a close that the gateway did not initiate from the error of the network library,
 // which is nil when the library closes all connections at the end of its event loop.
 func closeReasonFor(err error) closeReason {
@@ -52,13 +46,14 @@
 
 // outcomes counts how connections and requests ended, by cause. Only the event loop may use it.
 type outcomes struct {
-	clientsClosed map[closeReason]uint64
-	unanswered    map[closeReason]uint64 // requests whose connection ended before their response
-	attempts      map[decide.Result]uint64
-	readsSent     map[decide.Proof]uint64
-	acceptErrors  map[string]uint64
-	dialErrors    map[string]uint64
-	readsWithheld uint64
+	clientsClosed  map[closeReason]uint64
+	unanswered     map[closeReason]uint64 // requests whose connection ended before their response
+	attempts       map[decide.Result]uint64
+	readsSent      map[decide.Proof]uint64
+	acceptErrors   map[string]uint64
+	dialErrors     map[string]uint64
+	readsWithheld  uint64
+	queriesDropped uint64
 }
 
 func newOutcomes() outcomes {
@@ -74,24 +69,26 @@
 
 // Outcomes holds counters by cause since the start of the process.
 type Outcomes struct {
-	ClientsClosed map[string]uint64 // client connections, by the reason of their close
-	Unanswered    map[string]uint64 // requests that got no final response, by the reason of their connection's close
-	Attempts      map[string]uint64 // attempts at members, by result
-	ReadsSent     map[string]uint64 // reads that were to be sent to members, by what proved their data fresh enough
-	ReadsWithheld uint64            // of those, such whose proof had aged when they were to be written
-	AcceptErrors  map[string]uint64 // failed accepts of client connections, by error
-	DialErrors    map[string]uint64 // failed connects to members and discovery, by error
+	ClientsClosed  map[string]uint64 // client connections, by the reason of their close
+	Unanswered     map[string]uint64 // requests that got no final response, by the reason of their connection's close
+	Attempts       map[string]uint64 // attempts at members, by result
+	ReadsSent      map[string]uint64 // reads that were to be sent to members, by what proved their data fresh enough
+	ReadsWithheld  uint64            // of those, such whose proof had aged when they were to be written
+	QueriesDropped uint64            // queries rejected unread, as there was no memory for them
+	AcceptErrors   map[string]uint64 // failed accepts of client connections, by error
+	DialErrors     map[string]uint64 // failed connects to members and discovery, by error
 }
 
 func (o *outcomes) snapshot() Outcomes {
 	return Outcomes{
-		ClientsClosed: countsByReason(o.clientsClosed),
-		Unanswered:    countsByReason(o.unanswered),
-		Attempts:      countsByLabel(o.attempts),
-		ReadsSent:     countsByLabel(o.readsSent),
-		ReadsWithheld: o.readsWithheld,
-		AcceptErrors:  maps.Clone(o.acceptErrors),
-		DialErrors:    maps.Clone(o.dialErrors),
+		ClientsClosed:  countsByReason(o.clientsClosed),
+		Unanswered:     countsByReason(o.unanswered),
+		Attempts:       countsByLabel(o.attempts),
+		ReadsSent:      countsByLabel(o.readsSent),
+		ReadsWithheld:  o.readsWithheld,
+		QueriesDropped: o.queriesDropped,
+		AcceptErrors:   maps.Clone(o.acceptErrors),
+		DialErrors:     maps.Clone(o.dialErrors),
 	}
 }
 
--- a/gateway/txns.go
+++ b/gateway/txns.go
@@ -372,7 +372,7 @@
 	if t == nil || t.answered {
 		return nil, false
 	}
-	buf, err := g.clients.conns.Get(t.client).conn.Peek(t.querySize)
+	buf, err := g.clients.conns.Get(t.client).peek(t.querySize)
 	if err != nil {
 		return nil, false
 	}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -53,6 +53,8 @@
 	counter("txns_unagreed_total", "Of those declined, such that the fleet's agreement did not let this gateway decide.", func(x *gateway.Stats) int { return x.NoAgreement })
 	counter("reads_withheld_total", "Reads that were not written as what had proved their data fresh enough had aged.",
 		func(x *gateway.Stats) int { return int(x.Outcomes.ReadsWithheld) })
+	counter("queries_dropped_total", "Queries that were rejected unread, as there was no memory for them.",
+		func(x *gateway.Stats) int { return int(x.Outcomes.QueriesDropped) })
 	gauge := func(name, help string, value func(*gateway.Stats) float64) {
 		addMetric(name, help, prometheus.GaugeValue, func(x *gateway.Stats) (float64, bool) {
 			if x.Fleet == nil {
--- a/internal/pgwire/messages.go
+++ b/internal/pgwire/messages.go
@@ -125,6 +125,42 @@
 	return kind, buf[5 : 1+n], 1 + n, nil
 }
 
+// Scanner follows a stream of messages without keeping them. Its zero value is at the beginning of a message.
+type Scanner struct {
+	header     [HeaderSize]byte
+	headerSize int // bytes of the header that have been seen
+	bodyLeft   int // bytes of the body that have not been seen
+}
+
+// Scan passes over the next part of the stream and appends the kind of each message that ends in it.
+func (s *Scanner) Scan(kinds, data []byte, maxSize int) ([]byte, error) {
+	for len(data) > 0 {
+		if s.headerSize < HeaderSize {
+			n := copy(s.header[s.headerSize:], data)
+			s.headerSize += n
+			data = data[n:]
+			if _, _, _, err := ReadMessage(s.header[:s.headerSize], maxSize); err != nil {
+				return kinds, err
+			}
+			if s.headerSize < HeaderSize {
+				break
+			}
+			s.bodyLeft = MessageSize(s.header[:]) - HeaderSize
+		}
+		n := min(s.bodyLeft, len(data))
+		s.bodyLeft -= n
+		data = data[n:]
+		if s.bodyLeft == 0 {
+			kinds = append(kinds, s.header[0])
+			s.headerSize = 0
+		}
+	}
+	return kinds, nil
+}
+
+// InMessage reports whether a message has begun that has not ended.
+func (s *Scanner) InMessage() bool { return s.headerSize > 0 }
+
 // ReadString decodes the body of a message that holds one string, such as Query.
 func ReadString(body []byte) ([]byte, bool) {
 	end := len(body) - 1
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -212,3 +213,26 @@
 		}
 	})
 }
+
+// A scanner follows a stream of messages however it is cut.
+func ExampleScanner() {
+	stream := AppendQuery(AppendQuery(nil, "SELECT 1"), "")
+	stream = append(stream, "S\x00\x00\x00\x04P\x00\x00"...)
+	for _, step := range []int{1, 4, 7, len(stream)} {
+		var s Scanner
+		var kinds []byte
+		var err error
+		for part := range slices.Chunk(stream, step) {
+			kinds, err = s.Scan(kinds, part, 100)
+		}
+		fmt.Printf("%s %v %v\n", kinds, s.InMessage(), err)
+	}
+	_, err := new(Scanner).Scan(nil, []byte("Q\x00\x00\x00\x7f"), 100)
+	fmt.Println(err)
+	// Output:
+	// QQS true <nil>
+	// QQS true <nil>
+	// QQS true <nil>
+	// QQS true <nil>
+	// malformed message
+}
