Example_clientOverMemoryLimit wants an answer for each command before the disconnect

It is replaced by a stricter one: the open write gets 40000, as it may have had its effect, more than 4096 commands behind it 53300 each, in order, and only then the connection ends with 08P01; another client is served meanwhile.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -727,20 +727,31 @@
 	// 40000 rolled back, it may have had its effect
 }
 
-// A client that pipelines more than its buffer limit, or never reads its responses, is disconnected; others are served.
+// A client that pipelines far more than its buffer limit is disconnected, but only once each of its commands up to there
+// has its own answer: the open write that it may have had its effect, the others that they had none. Others are served
+// meanwhile. The gateway used to end the connection, with no answer to any of them.
 func Example_clientOverMemoryLimit() {
 	m := newMember("m", "read-write")
 	m.unansweredText = "INSERT"
 	env := startGateway(256, m)
 	defer env.stop()
-	pipelined := startupMessage + queryMessage(txnSQL("once", "")) + strings.Repeat(queryMessage(txnSQL("any", "")), 200000) // more than a sixteenth of the memory limit
-	// The connection may end before the error reaches a client that is still writing.
-	fmt.Println(strings.Replace(env.exchange(pipelined, 1<<16), "E(08P01).", ".", 1))
+	pipelined := queryMessage(txnSQL("once", "")) + strings.Repeat(queryMessage(txnSQL("any", "")), 200000) // more than a sixteenth of the memory limit
+	c, r := env.dialSession()
+	defer c.Close()
+	_, err := io.WriteString(c, pipelined)
+	must(err)
 	got, _, _ := strings.Cut(execute(env.connect(), txnSQL("any", "")), " by ")
 	fmt.Println(got)
+	fmt.Println(summarizeResponses(r, 2))
+	answer, rejected := summarizeResponses(r, 2), 0
+	for ; answer == "E(53300)Z"; answer = summarizeResponses(r, 2) {
+		rejected++
+	}
+	fmt.Println(rejected > 4096, answer)
 	// Output:
-	// RSSSSSKZ.
 	// committed
+	// E(40000)Z
+	// true E(08P01).
 }
 
 // After SIGTERM, open txns are completed, txns that still arrive are served, and the program exits with status 0.
