A fence is a read at the primary: a load report is older than the question

Cause: a fence is to prove that every commit answered before it was asked lies at or below its position. The gateway took that position from the answer to SHOW stats, a load report, which is up to some hundred ms old; rehearsals did as well. The highest of fence, watermark and client's position would pass the case and leave the reads of sessions stale whose write went through the gateway that died.

Change: the oldest waiting read is routed to the primary alone, and the position in its answer is the fence's; who answers must call itself primary in that answer, else the answer reaches nobody. Reports are lower bounds only. Why it works: the answer to a read can't be older than the read, whatever the clocks say.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -137,6 +137,13 @@
 	return nil
 }
 
+// RequirePrimary has a new read served by its group's primary alone.
+func (g *Gateway) RequirePrimary(id uint64) {
+	if t := g.txns[id]; t != nil {
+		t.primaryOnly, t.token = true, g.now
+	}
+}
+
 // RestrictReads keeps the reads of a new txn to some zones, given as a bit mask, while one of their members
 // is healthy. It may also shorten the txn's target latency.
 func (g *Gateway) RestrictReads(id uint64, zones uint64, targetLatency Nanos) {
@@ -500,7 +507,7 @@
 	switch {
 	case t.slaDeadline <= g.now:
 		queue += 2 * len(g.settings.Classes)
-	case g.settings.Replication.Consistency[t.class] == "causal" && g.requiredPosition(t, g.now) == 0:
+	case g.consistencyOf(t) == "causal" && g.requiredPosition(t, g.now) == 0:
 		queue += len(g.settings.Classes)
 	}
 	t.waiting = true
@@ -797,14 +804,14 @@
 
 // PositionSource is the member to ask for the position of a group's log: its primary, or, while no
 // responsive primary is known, its members in turn, as with a write. Excluded members are not asked.
-func (g *Gateway) PositionSource(groupID, turn int) (Server, bool) {
+func (g *Gateway) PositionSource(groupID, turn int) (server Server, isPrimary, ok bool) {
 	var candidates []*member
 	for _, grp := range g.groups {
 		if grp.id != groupID {
 			continue
 		}
 		if p := g.primaryOf(grp); p != nil && !p.suspect {
-			return p.id, true
+			return p.id, true, true
 		}
 		for _, m := range grp.members {
 			if !m.excluded && g.withinColdBudget(m) {
@@ -813,14 +820,14 @@
 		}
 	}
 	if len(candidates) == 0 {
-		return Server{}, false
+		return Server{}, false, false
 	}
-	return candidates[turn%len(candidates)].id, true
+	return candidates[turn%len(candidates)].id, false, true
 }
 
 // chooseMember chooses a member for a txn by the numbered steps of the design, or nil while the txn must wait.
 func (g *Gateway) chooseMember(t *txn) *member {
-	consistency := g.settings.Replication.Consistency[t.class]
+	consistency := g.consistencyOf(t)
 	p := g.primaryOf(t.group)
 	if consistency == "mutate" || consistency == "strong" {
 		return g.choosePrimary(t, p, consistency == "mutate")
--- a/decide/freshness.go
+++ b/decide/freshness.go
@@ -83,9 +83,17 @@
 // unread reports whether an answer may have been written that this gateway did not read.
 func unread(r Result) bool { return r == TimedOut || r == Broken || r == Cancelled }
 
+// consistencyOf is the consistency that a txn needs: that of its type, unless its read requires the primary.
+func (g *Gateway) consistencyOf(t *txn) string {
+	if t.primaryOnly {
+		return "strong"
+	}
+	return g.settings.Replication.Consistency[t.class]
+}
+
 // requiredPosition is the position that a read sent at a given time must see, 0 if any replica will do.
 func (g *Gateway) requiredPosition(t *txn, at Nanos) Nanos {
-	switch g.settings.Replication.Consistency[t.class] {
+	switch g.consistencyOf(t) {
 	case "lag_bound":
 		return at - Nanos((1-stalenessMargin)*float64(g.settings.Replication.MaxStaleness[t.class]))
 	case "causal":
@@ -163,7 +171,7 @@
 	}
 	m := t.submissions[attempt].member
 	isPrimary := m == g.freshPrimary(t.group)
-	switch g.settings.Replication.Consistency[t.class] {
+	switch g.consistencyOf(t) {
 	case "mutate", "eventual":
 		return true
 	case "strong":
@@ -195,7 +203,7 @@
 	if !g.checksReads() {
 		return
 	}
-	switch g.settings.Replication.Consistency[t.class] {
+	switch g.consistencyOf(t) {
 	case "lag_bound":
 		m.advancePosition(s.sentAt - g.settings.Replication.MaxStaleness[t.class])
 	case "causal", "strong":
--- a/decide/state.go
+++ b/decide/state.go
@@ -134,6 +134,7 @@
 	inFlight, errorCount                   int
 	waiting, done                          bool
 	firstRunAt                             Nanos   // send time of the first submission that may have run
+	primaryOnly                            bool    // its read is served by the primary alone, see Gateway.RequirePrimary
 	waitOver                               bool    // step 5: the wait is over, only the primary may serve it
 	randomDraw                             float64 // see Gateway.randomDraw
 	pausedUntil                            Nanos
--- a/fleet/sessions.go
+++ b/fleet/sessions.go
@@ -19,10 +19,12 @@
 	Logger() *slog.Logger
 	Started() <-chan struct{} // closed once Post works
 
-	Serve(readID uint64, minPosition session.Position)                       // routes a read to a member that has reached minPosition; 0 for any
-	Refuse(readID uint64, retryAfter int64)                                  // rejects a read of which nothing was sent
-	Fence(group int, requestID uint64, attempt int, timeout int64) (ok bool) // queries a member that may be the primary; ok is false if there is none
-	ReceivePositions(entries []peerwire.Entry)                               // of members, reported by another gateway
+	Serve(readID uint64, minPosition session.Position) // routes a read to a member that has reached minPosition; 0 for any
+	Refuse(readID uint64, retryAfter int64)            // rejects a read of which nothing was sent
+	// Fence routes the read of a decision to the primary of its group, whose answer completes the fence request. While no
+	// primary is known it queries a member that may be one: the members in turn, by the number of the attempt.
+	Fence(d *session.Decision, attempt int, timeout int64) FenceRoute
+	ReceivePositions(entries []peerwire.Entry) // of members, reported by another gateway
 
 	IsWaiting(answer slots.Ref) bool                    // whether the answer still waits for its change to be written
 	ReleaseAnswer(answer slots.Ref, early bool)         // sends it; the slot of an early answer is kept until EarlyAnswerWritten
@@ -30,6 +32,15 @@
 	SetAnswerDeadline(answer slots.Ref, deadline int64) // calls AnswerOverdue at the deadline
 }
 
+// FenceRoute is what became of a fence request.
+type FenceRoute int
+
+const (
+	FenceNotSent   FenceRoute = iota // there is no member to ask
+	FenceAtPrimary                   // the read is on its way to the primary
+	FenceSearching                   // a member that may be the primary was queried; the read waits on
+)
+
 // Sessions hosts the session module: it passes reads, commits, fences and messages of other gateways to it, and carries out
 // its decisions. It must be used from the event loop only.
 type Sessions struct {
@@ -176,13 +187,14 @@
 // AnswerOverdue is called at the deadline set with SessionHost.SetAnswerDeadline.
 func (s *Sessions) AnswerOverdue(answer slots.Ref) { s.ledger.overdue(answer) }
 
-// FenceCompleted handles the response to a fence: a position, 0 for none, and whether the member reported to be the primary
-// in that same response.
-func (s *Sessions) FenceCompleted(group int, requestID uint64, position session.Position, primary bool) {
-	if primary && position > 0 {
-		s.Module.FenceCompleted(group, requestID, position)
-		return
-	}
+// FenceCompleted handles the answer of a primary to the read of a fence: the position that it told, 0 for none.
+func (s *Sessions) FenceCompleted(group int, requestID uint64, position session.Position) {
+	s.Module.FenceCompleted(group, requestID, position)
+}
+
+// FenceFailed handles the end of a fence that no primary answered, and the position that a member told instead, 0 for
+// none.
+func (s *Sessions) FenceFailed(group int, requestID uint64, position session.Position) {
 	s.fenceAttempts++
 	if position > 0 {
 		s.Module.RecordMemberPosition(group, position)
@@ -210,8 +222,11 @@
 		case session.Refuse:
 			s.host.Refuse(d.ReadID, d.Delay)
 		case session.Fence:
-			if !s.host.Fence(d.Group, d.RequestID, s.fenceAttempts, s.Config.Session.FenceTimeout) {
+			switch s.host.Fence(&d, s.fenceAttempts, s.Config.Session.FenceTimeout) {
+			case FenceNotSent:
 				s.Module.FenceFailed(d.Group, d.RequestID)
+			case FenceAtPrimary:
+				s.Module.ReadRouted(d.ReadID)
 			}
 		case session.RequestEntries, session.SendEntries:
 			s.send(&d)
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -107,7 +107,7 @@
 	// Position that is too far ahead of the clock to prove anything: if it is a commit's, reads of its session must see it.
 	requiredPosition decide.Nanos
 	list             *listUpdate
-	fenceAttempt     uint64 // number of the fence request that a probe serves, 0 for none
+	fenceAttempt     uint64 // number of the fence request for which a probe seeks the primary, 0 for none
 	group            int    // of the fence request
 }
 
@@ -196,7 +196,7 @@
 	case inProbed:
 		g.module.ProbeEnded(in.server, in.result, in.elapsed, in.report)
 		if in.fenceAttempt != 0 {
-			g.fenceCompleted(&in)
+			g.searchEnded(&in)
 		} else if g.coordination != nil {
 			g.coordination.probeEnded(in.server, in.result)
 		}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -42,7 +42,7 @@
 	txn                 slots.Ref
 	submissionNo        int
 	probe               bool
-	fenceRequestNo      uint64 // number of the fence request for the position of a group's primary that this probe serves, 0 for none
+	fenceRequestNo      uint64 // number of the fence request for which this probe seeks a group's primary, 0 for none
 	group               int
 	startedAt, deadline decide.Nanos
 	sendBefore          decide.Nanos // the query must be sent before this time; 0 for no limit
@@ -637,6 +637,8 @@
 		r = resultForCode(a.errorResponse.Code)
 	case a.columns != 1 || a.rows != 1 || !a.complete:
 		return false
+	case !m.job.probe && !ms.g.answersFence(m.job.txn, a):
+		r = decide.NotEligible
 	}
 	if m.job.probe {
 		if a.errorResponse.Code == "" && ms.g.names.LoadReport.How != "none" {
@@ -648,6 +650,7 @@
 			parts = append(parts, buf[p[0]:p[1]])
 		}
 		ms.g.parts = parts
+		ms.g.fenceAnswered(m.job.txn, a)
 		if t := ms.g.txns.Get(m.job.txn); ms.g.sessions != nil && t != nil && !t.answered && t.writes {
 			if token := ms.g.recordSessionCommit(t, a.position); token != nil {
 				parts = append(parts, token)
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -5,13 +5,14 @@
 	"log/slog"
 
 	"magpieglade/decide"
+	"magpieglade/fleet"
 	"magpieglade/internal/pgwire"
 	"magpieglade/internal/slots"
 	"magpieglade/session"
 )
 
-// fenceRounding is how far a commit's position, rounded up, may lie above the primary's in a report, rounded down.
-const fenceRounding = decide.Millisecond * (1 + reportRoundingMs)
+// fenceRounding is how far a commit's position, rounded up, may lie above the primary's in an answer, rounded down.
+const fenceRounding = decide.Millisecond
 
 // sessionHost implements fleet.SessionHost: it routes reads, queries primaries for their positions and releases answers.
 type sessionHost struct{ g *Gateway }
@@ -43,11 +44,16 @@
 	return decide.Nanos(int64(p) - g.clock.zeroUnixMs*1e6)
 }
 
+// clientPosition is the position that a txn's client sent.
+func (g *Gateway) clientPosition(t *txn) session.Position {
+	return g.sessionPosition(decide.Millis(t.comment.After - float64(g.clock.zeroUnixMs)))
+}
+
 // addSessionRead adds a session's read, which waits until its minimum position is known.
 func (g *Gateway) addSessionRead(t *txn, budget decide.Nanos) {
 	minPosition := session.Position(0)
 	if t.comment.After > 0 {
-		minPosition = g.sessionPosition(decide.Millis(t.comment.After - float64(g.clock.zeroUnixMs)))
+		minPosition = g.clientPosition(t)
 	}
 	t.awaitingFloor, t.heldUntil = true, g.clock.now()+budget
 	g.sessions.AddRead(t.id, t.comment.Group, t.session, minPosition, t.comment.Token, int64(t.heldUntil))
@@ -81,23 +87,55 @@
 	return budget, ok
 }
 
-// fenceCompleted handles the response to a fence. It counts only if the member reports itself primary in that same response.
-func (g *Gateway) fenceCompleted(in *input) {
-	reported, primary := in.position, in.role == decide.RolePrimary
-	fields := g.names.LoadReport.Fields
+// searchEnded handles the end of a query to a member that may be the primary. What it reports may be older than the query, so
+// it completes no fence; the decision module learns its role from the same report, and the next fence goes to the primary.
+func (g *Gateway) searchEnded(in *input) {
+	reported := in.position
 	for i, x := range in.report {
-		switch fields[i] {
-		case "x0":
+		if g.names.LoadReport.Fields[i] == "x0" {
 			reported = max(reported, decide.Millis(x*1000))
-		case "x1":
-			primary = primary || in.role == decide.RoleUnknown && x == 1
 		}
 	}
+	g.fenceFailed(in.group, in.fenceAttempt, reported)
+}
+
+// fenceFailed reports the end of a fence that no primary answered, and the position that a member told instead, 0 for none.
+func (g *Gateway) fenceFailed(group int, requestID uint64, reported decide.Nanos) {
 	position := session.Position(0)
-	if in.result == decide.Committed && reported > 0 { // rounded down, while the commits that it must cover are rounded up
-		position = g.sessionPosition(reported + fenceRounding)
+	if reported > 0 {
+		position = g.sessionPosition(reported)
+	}
+	g.sessions.FenceFailed(group, requestID, position)
+}
+
+// answersFence reports whether a response may answer the read of a fence, or any other txn: only who calls itself primary in
+// that same response proves that it served the latest data.
+func (g *Gateway) answersFence(ref slots.Ref, a *response) bool {
+	t := g.txns.Get(ref)
+	return t == nil || t.fenceRequest == 0 || a.role == decide.RolePrimary
+}
+
+// fenceAnswered completes the fence of a read that its primary has answered, if it is one. The position in that response is
+// that of a moment after the read was sent, unlike the one in a load report.
+func (g *Gateway) fenceAnswered(ref slots.Ref, a *response) {
+	t := g.txns.Get(ref)
+	if t == nil || t.fenceRequest == 0 {
+		return
+	}
+	position := session.Position(0)
+	if at, ok := g.members.localPosition(a.position); ok {
+		position = g.sessionPosition(at + fenceRounding)
+	}
+	g.sessions.FenceCompleted(t.comment.Group, t.fenceRequest, position)
+	t.fenceRequest = 0
+}
+
+// endFence reports that the read of a fence ends without an answer of a primary.
+func (g *Gateway) endFence(t *txn) {
+	if t.fenceRequest != 0 {
+		g.fenceFailed(t.comment.Group, t.fenceRequest, 0)
+		t.fenceRequest = 0
 	}
-	g.sessions.FenceCompleted(in.group, in.fenceAttempt, position, primary)
 }
 
 // Serve routes a read to a member that has reached minPosition.
@@ -107,21 +145,26 @@
 	if t == nil || !t.awaitingFloor {
 		return
 	}
-	t.awaitingFloor = false
-	now := g.clock.now()
 	var age decide.Nanos
 	if minPosition > 0 {
 		t.floor = g.clockTime(minPosition)
 		// A minimum position of 0 or below would mean none.
-		if age = now - max(1, t.floor); age == 0 {
+		if age = g.clock.now() - max(1, t.floor); age == 0 {
 			age = -1
 		}
 	}
-	if err := g.module.AddTxn(t.id, t.class, 0, t.session, max(1, t.heldUntil-now), 0, t.comment.Group, age); err != nil {
+	g.routeSessionRead(t, age)
+}
+
+// routeSessionRead passes a read to the decision module with the age of the position that it must see, 0 for none.
+func (g *Gateway) routeSessionRead(t *txn, age decide.Nanos) (ok bool) {
+	t.awaitingFloor = false
+	if err := g.module.AddTxn(t.id, t.class, 0, t.session, max(1, t.heldUntil-g.clock.now()), 0, t.comment.Group, age); err != nil {
 		g.rollBack(t.id)
-		return
+		return false
 	}
 	g.generations.restrictReads(t)
+	return true
 }
 
 // Refuse rejects a read.
@@ -132,15 +175,28 @@
 	}
 }
 
-// Fence queries the primary of a group for its position, or a member that may be the primary.
-func (x sessionHost) Fence(group int, requestID uint64, attempt int, timeout int64) bool {
-	server, ok := x.g.module.PositionSource(group, attempt)
+// Fence routes a read to the primary of its group, or queries a member that may be the primary.
+func (x sessionHost) Fence(d *session.Decision, attempt int, timeout int64) fleet.FenceRoute {
+	g := x.g
+	server, isPrimary, ok := g.module.PositionSource(d.Group, attempt)
 	if !ok {
-		return false
+		return fleet.FenceNotSent
 	}
-	now := x.g.clock.now()
-	x.g.members.startJob(server, job{probe: true, fenceRequestNo: requestID, group: group, startedAt: now, deadline: now + decide.Nanos(timeout)})
-	return true
+	if !isPrimary {
+		now := g.clock.now()
+		g.members.startJob(server, job{probe: true, fenceRequestNo: d.RequestID, group: d.Group, startedAt: now, deadline: now + decide.Nanos(timeout)})
+		return fleet.FenceSearching
+	}
+	t := g.txns.Get(g.byID[d.ReadID])
+	if t == nil || !t.awaitingFloor || !g.routeSessionRead(t, 0) {
+		return fleet.FenceNotSent
+	}
+	t.fenceRequest = d.RequestID
+	if t.comment.After > 0 && g.clientPosition(t) > d.Floor { // it may be forged: the primary would wait for it in vain
+		t.floor = max(1, g.clockTime(d.Floor))
+	}
+	g.module.RequirePrimary(d.ReadID)
+	return fleet.FenceAtPrimary
 }
 
 // IsWaiting reports whether an answer waits for its ledger record.
--- a/gateway/txns.go
+++ b/gateway/txns.go
@@ -44,6 +44,7 @@
 	delayedResponse []byte       // its response, which waits for the ledger to be saved
 	awaitingLedger  bool         // it was answered before the ledger saved its change, which is still pending
 	floor           decide.Nanos // position that its read must see; 0 for none, or for the one that its client sent
+	fenceRequest    uint64       // fence that a primary's answer to it completes, 0 for none
 }
 
 // awaitingAllocation is the problem of receiveTxn when the query must be read again after allocationPollInterval. Clients
@@ -200,6 +201,7 @@
 		return
 	}
 	t.answered = true
+	g.endFence(t)
 	g.generations.recordOutcome(t, !t.failed)
 	if g.contracts != nil {
 		g.contracts.countTxn(t, !t.failed)
@@ -277,6 +279,7 @@
 		} else {
 			g.module.ClientGone(t.id)
 		}
+		g.endFence(t)
 		g.releaseIfDone(ref, true)
 	}
 }
@@ -349,6 +352,9 @@
 	g.outcomes.attempts[in.result]++
 	g.module.SubmissionEnded(t.id, in.attempt, in.server, in.result, in.elapsed, in.role, in.position,
 		t.answered, in.report)
+	if t.fenceRequest != 0 && in.position > 0 { // the group's log has reached it, whoever is its primary
+		g.sessions.Module.RecordMemberPosition(t.comment.Group, g.sessionPosition(in.position))
+	}
 	if in.requiredPosition > 0 && t.writes && in.result == decide.Committed {
 		g.module.RaiseSessionPosition(t.comment.Group, t.session, in.requiredPosition)
 	}
--- a/rehearse/covered.go
+++ b/rehearse/covered.go
@@ -69,32 +69,7 @@
 	case session.Refuse:
 		n.respond(n.open[d.ReadID], audit.Declined, 0, 0, d.Delay)
 	case session.Fence:
-		server, ok := n.module.PositionSource(d.Group, h.fenceSource)
-		if !ok {
-			h.module.FenceFailed(d.Group, d.RequestID)
-			return
-		}
-		ended := false
-		group, no := d.Group, d.RequestID
-		end := func(report []float64) {
-			if ended || !alive(n, run) {
-				return
-			}
-			ended = true
-			h.step(func() {
-				if len(report) > 1 && report[1] == 1 {
-					h.module.FenceCompleted(group, no, session.Position(report[0]*1e9))
-					return
-				}
-				h.fenceSource++
-				if len(report) > 1 {
-					h.module.RecordMemberPosition(group, session.Position(report[0]*1e9))
-				}
-				h.module.FenceFailed(group, no)
-			})
-		}
-		w.After(session.DefaultConfig().FenceTimeout, func() { end(nil) })
-		n.sendProbe(w.databaseFor(server), func(_ decide.Result, report []float64) { end(report) })
+		h.fence(d)
 	case session.RequestEntries, session.SendEntries:
 		to, page, no, isRequest := w.gateways[d.Peer], d.Page, d.RequestID, d.Kind == session.RequestEntries
 		if w.lostBetween(n.index, to.index) {
@@ -122,3 +97,50 @@
 		w.logf("gateway %d: %s", n.index, d.Text)
 	}
 }
+
+// fence routes the read of a fence to its group's primary, or queries a member that may be the primary.
+func (h *sessionHost) fence(d *session.Decision) {
+	n, run := h.gateway, h.gateway.incarnation
+	server, isPrimary, ok := n.module.PositionSource(d.Group, h.fenceSource)
+	t := n.open[d.ReadID]
+	if !ok || t == nil {
+		h.module.FenceFailed(d.Group, d.RequestID)
+		return
+	}
+	if isPrimary {
+		h.module.ReadRouted(d.ReadID)
+		t.fenceRequest = d.RequestID
+		n.route(t)
+		return
+	}
+	ended := false
+	end := func(report []float64) {
+		if ended || !n.up || n.incarnation != run {
+			return
+		}
+		ended = true
+		h.fenceSource++
+		h.step(func() {
+			if len(report) > 1 { // it may be older than the query: it bounds no read
+				h.module.RecordMemberPosition(d.Group, session.Position(report[0]*1e9))
+			}
+			h.module.FenceFailed(d.Group, d.RequestID)
+		})
+	}
+	n.w.After(session.DefaultConfig().FenceTimeout, func() { end(nil) })
+	n.sendProbe(n.w.databaseFor(server), func(_ decide.Result, report []float64) { end(report) })
+}
+
+// fenceEnded reports to the session module how the read of a fence ended: position is that of the primary that answered
+// it, 0 if none did.
+func (h *sessionHost) fenceEnded(t *txn, position int64) {
+	request := t.fenceRequest
+	t.fenceRequest = 0
+	h.step(func() {
+		if position > 0 {
+			h.module.FenceCompleted(h.gateway.groupOf(t), request, session.Position(position))
+		} else {
+			h.module.FenceFailed(h.gateway.groupOf(t), request)
+		}
+	})
+}
--- a/rehearse/nodes.go
+++ b/rehearse/nodes.go
@@ -40,6 +40,7 @@
 	id, session, key, version uint64
 	txnType                   int
 	floor                     int64
+	fenceRequest              uint64 // fence that a primary's answer to it completes, 0 for none
 	budget, arrivedAt         int64
 	batchArrivedAt            int64 // arrival of the first txn of its pipelined batch
 	submissions               []*submission
@@ -325,6 +326,9 @@
 		if err := n.module.AddTxn(t.id, t.txnType, 0, t.session, decide.Nanos(max(1, t.arrivedAt+t.budget-n.w.Now)), 0, n.groupOf(t), age); err != nil {
 			panic(err) // unknown type: impossible, the settings are generated from the scenario
 		}
+		if t.fenceRequest != 0 {
+			n.module.RequirePrimary(t.id)
+		}
 	})
 }
 
@@ -336,6 +340,9 @@
 		return
 	}
 	t.done = true
+	if t.fenceRequest != 0 {
+		n.sessions.fenceEnded(t, 0)
+	}
 	run := n.incarnation
 	n.w.After(n.w.networkDelay(n.zone, n.zone), func() {
 		if n.incarnation == run {
@@ -478,6 +485,13 @@
 			d.connections--
 		}
 	}
+	if r.result == committed && t.fenceRequest != 0 {
+		if r.primary {
+			n.sessions.fenceEnded(t, r.position)
+		} else {
+			r.result = notEligible // what a replica read may be too old
+		}
+	}
 	role := decide.RoleUnknown
 	if r.result == committed || r.result == notEligible || r.result == failed {
 		role = decide.RoleReplica
--- a/rehearse/sessions.go
+++ b/rehearse/sessions.go
@@ -272,10 +272,12 @@
 			}
 		})
 	case session.Fence:
+		g.module.ReadRouted(d.ReadID)
 		w.After(w.networkDelay(), func() {
 			p := session.Position(max(w.lastPosition, w.Now))
 			w.After(w.networkDelay(), func() {
 				if g.incarnation == run {
+					w.serveRead(d.ReadID, math.MaxInt64)
 					w.step(g, func() { g.module.FenceCompleted(d.Group, d.RequestID, p) })
 				}
 			})
--- a/session/fences.go
+++ b/session/fences.go
@@ -19,6 +19,8 @@
 	nextFenceAt              int64 // no new fence before
 	primaryUnavailable       bool  // fences fail, as last logged
 	consecutiveFenceFailures int
+	positionsUntold          bool  // the last fence was answered by a primary that told no position
+	fenceDuration            int64 // how long the last fence that was answered took
 }
 
 // read is a session read that waits for its floor.
@@ -129,15 +131,22 @@
 	return served
 }
 
-// FenceCompleted takes the position that a primary reported in response to a fence. The member must have stated in the
-// same response that it is the primary.
+// FenceCompleted takes the position that a primary told in its answer to the read of a fence, 0 if it told none. The
+// position must be that of a moment after the fence was asked, as every commit that was answered before is to lie at or
+// below it: a load report, which may be older, does not prove that. The member must have stated in the same answer that
+// it is the primary.
 func (s *Sessions) FenceCompleted(groupID int, requestID uint64, p Position) {
 	g := s.groupByID(groupID)
 	i := slices.IndexFunc(g.pendingFences, func(f fenceRequest) bool { return f.id == requestID })
-	if i < 0 || p <= 0 {
+	if i < 0 {
 		return
 	}
 	f := g.pendingFences[i]
+	g.fenceDuration = s.now - f.sentAt
+	if g.positionsUntold = p <= 0; g.positionsUntold {
+		g.pendingFences = slices.Delete(g.pendingFences, i, i+1)
+		return
+	}
 	g.pendingFences = slices.Delete(g.pendingFences, 0, i+1) // earlier ones cover nothing more
 	g.consecutiveFenceFailures = 0
 	if g.primaryUnavailable {
@@ -166,10 +175,23 @@
 		if r.complete {
 			return min(r.clientPosition, p), true
 		}
-		return p, true
+		floor, setAt := s.sessionFloor(g, r.session)
+		if setAt+positionSettleTime < f.sentAt { // if it lies beyond the primary, it is out of reach
+			return p, true
+		}
+		return max(floor, p), true
 	}))
 }
 
+// ReadRouted reports that the host has routed a fence's read to the primary: it is answered there and waits no more.
+func (s *Sessions) ReadRouted(id uint64) {
+	if r := s.reads[id]; r != nil {
+		s.removeRead(r)
+		s.stats.Fenced++
+		s.stats.WaitTime += s.now - r.arrivedAt
+	}
+}
+
 // RecordMemberPosition takes the position of a member that is not the primary, or does not state that it is. It bounds
 // no read, as the primary may be ahead; but the group's log has reached it, so a lower floor or client position is
 // within reach and needs no primary. Without it a gateway that restarted while its primary hangs refuses, from one
@@ -198,11 +220,11 @@
 // FenceFailed reports that a fence has no response: no primary is known, it drains, or it did not respond as one.
 func (s *Sessions) FenceFailed(groupID int, requestID uint64) {
 	g := s.groupByID(groupID)
-	before := len(g.pendingFences)
-	g.pendingFences = slices.DeleteFunc(g.pendingFences, func(f fenceRequest) bool { return f.id == requestID })
-	if len(g.pendingFences) == before {
+	i := slices.IndexFunc(g.pendingFences, func(f fenceRequest) bool { return f.id == requestID })
+	if i < 0 {
 		return
 	}
+	g.pendingFences = slices.Delete(g.pendingFences, i, i+1)
 	g.nextFenceAt = s.now + fenceRetryInterval
 	if g.consecutiveFenceFailures++; g.consecutiveFenceFailures > 10 && !g.primaryUnavailable {
 		g.primaryUnavailable = true
@@ -290,21 +312,43 @@
 	return s.query.startedAt != 0 || s.messageBudget >= float64(2*len(s.otherGateways))
 }
 
-// requestFence asks a group's primary for its position, for all reads that wait.
+// requestFence asks a group's primary for its position, for all reads that wait. The oldest of them is the question: what
+// the primary answers to it is as fresh as the fence. While the primary tells no positions, each read is one.
 func (s *Sessions) requestFence(g *group) {
-	n := len(g.pendingFences)
-	// One at a time: the next begins when this one ends, or takes too long.
-	if s.now < g.nextFenceAt || n > 0 && s.now-g.pendingFences[n-1].sentAt < s.config.FenceTimeout {
-		return
+	for _, r := range g.waitingReads {
+		if !s.mayRequestFence(g) {
+			return
+		}
+		s.fenceWith(g, r)
 	}
-	if len(g.pendingFences) >= maxPendingFences {
-		g.pendingFences = slices.Delete(g.pendingFences, 0, 1)
+}
+
+// mayRequestFence reports whether a fence may be asked for: one at a time, the next begins when this one ends or takes too
+// long.
+func (s *Sessions) mayRequestFence(g *group) bool {
+	n := len(g.pendingFences)
+	if s.now < g.nextFenceAt || n >= maxPendingFences {
+		return false
 	}
+	return n == 0 || g.positionsUntold || s.now >= s.fenceOverdueAt(g)
+}
+
+// fenceOverdueAt is when the latest fence in flight takes too long: it costs the primary a read, which may take longer than
+// FenceTimeout.
+func (s *Sessions) fenceOverdueAt(g *group) int64 {
+	return g.pendingFences[len(g.pendingFences)-1].sentAt + max(s.config.FenceTimeout, fenceDurations*g.fenceDuration)
+}
+
+func (s *Sessions) fenceWith(g *group, r *read) {
 	s.lastRequestID++
 	s.stats.FenceRequests++
 	g.pendingFences = append(g.pendingFences,
 		fenceRequest{id: s.lastRequestID, sentAt: s.now, lossCount: s.lossCount, lastArrival: s.lastArrival})
-	s.decisions = append(s.decisions, Decision{Kind: Fence, Group: g.id, RequestID: s.lastRequestID})
+	floor, _ := s.sessionFloor(g, r.session)
+	if s.trustsClientPosition(r) {
+		floor = max(floor, r.clientPosition)
+	}
+	s.decisions = append(s.decisions, Decision{Kind: Fence, ReadID: r.id, Group: g.id, RequestID: s.lastRequestID, Floor: floor})
 }
 
 // startPeerQuery requests the entries of all other gateways.
@@ -384,8 +428,10 @@
 			include(r.deadline)
 		}
 		if len(g.waitingReads) > 0 {
-			if n := len(g.pendingFences); n > 0 {
-				include(max(g.nextFenceAt, g.pendingFences[n-1].sentAt+s.config.FenceTimeout))
+			if n := len(g.pendingFences); n >= maxPendingFences {
+				continue // the end of one of them causes the next round
+			} else if n > 0 {
+				include(max(g.nextFenceAt, s.fenceOverdueAt(g)))
 			} else if g.nextFenceAt > s.now {
 				include(g.nextFenceAt)
 			}
--- a/session/session.go
+++ b/session/session.go
@@ -27,7 +27,7 @@
 const (
 	Serve          DecisionKind = iota // route ReadID, which must see at least Floor; 0 is nothing to wait for
 	Refuse                             // refuse ReadID, of which nothing was sent; the client may retry after Delay
-	Fence                              // ask the primary of Group for its position, as request RequestID
+	Fence                              // ask the primary of Group for its position by routing ReadID there, as request RequestID; Floor bounds the position that its client sent
 	RequestEntries                     // ask Peer for its entries after Page.Last of Page.Epoch, as request RequestID
 	SendEntries                        // send Peer a page of this gateway's entries in response to RequestID, 0 for none
 	Wake                               // run a round after Delay
@@ -153,7 +153,8 @@
 	// Reads and fences.
 	deadlineReserveDivisor = 8    // a read's time divided by this is reserved for the way to a member
 	minDeadlineReserve     = 20e6 // and at least this long
-	maxPendingFences       = 4    // fences of a group in flight whose answers still count
+	maxPendingFences       = 64   // fences of a group in flight
+	fenceDurations         = 2    // times as long as the last one a fence may take before the next is asked
 	fenceRetryInterval     = 5e6  // a fence that failed is requested again after this
 
 	// Keyed writes.
--- a/standin/group.go
+++ b/standin/group.go
@@ -23,6 +23,8 @@
 	DedupWindow time.Duration // how long repeats of a keyed write are dropped
 	ReplicaWait time.Duration // how long a replica waits for the position that a read requires; if negative, it does not check
 
+	ReportAge time.Duration // how old the position in a load report is
+
 	mu      sync.Mutex
 	changed *sync.Cond // signals any change that a caller may wait for
 	skew    time.Duration
--- a/standin/member.go
+++ b/standin/member.go
@@ -360,7 +360,7 @@
 	if m.primary {
 		role = 1
 	}
-	return fmt.Sprintf("x0=%.3f,x1=%d,util=%.3f", float64(g.position(m))/1000, role, float64(m.utilization.Load())/1000)
+	return fmt.Sprintf("x0=%.3f,x1=%d,util=%.3f", float64(g.position(m)-g.ReportAge.Milliseconds())/1000, role, float64(m.utilization.Load())/1000)
 }
 
 // sendStatus reports the server's role and a position; 0 stands for the current one.
