The position of a repeated write no longer lowers what an expired watermark leaves

Callers would see a stale session read: a watermark that expires raises its group's floor, "but not above the position that the primary reported long after", and RecordCommit reported every commit's. A repeated keyed write is answered with the position of its first commit, so a repeat a second after another session's commit clamped that one's floor below it.

Change: only what a fence proved clamps a watermark. Why it works: a fence's position is that of a moment after the watermark was recorded; a commit's is a lower bound.

Not seen on sockets.

--- a/session/fences.go
+++ b/session/fences.go
@@ -12,7 +12,8 @@
 	coveredLosses            uint64   // the loss count that the floor covers
 	primaryPosition          Position // highest position that a primary reported of itself
 	primaryPositionSetAt     int64    // when the request for that report was sent
-	primaryConfirmedAt       int64    // the same of the latest report
+	fencedPosition           Position // what the latest fence proved, at fencedAt
+	fencedAt                 int64    // when that fence was sent
 	maxMemberPosition        Position // highest position reported of any other member: the group's log has reached it, whoever is its primary
 	waitingReads             []*read  // in the order of arrival
 	pendingFences            []fenceRequest
@@ -153,6 +154,7 @@
 		g.primaryUnavailable = false
 		s.log("group %d: its primary tells its position again, %d reads waited", groupID, len(g.waitingReads))
 	}
+	g.fencedPosition, g.fencedAt = p, f.sentAt
 	s.updatePrimaryPosition(g, p, f.sentAt)
 	if g.floor > p && g.floorSetAt+positionSettleTime < f.sentAt {
 		s.log("group %d: floor %d ms beyond its primary, lowered: commits were lost in a switch, or clocks differ",
--- a/session/marks.go
+++ b/session/marks.go
@@ -60,14 +60,15 @@
 	s.keyedWrites.expireOld(s.now, s.config.KeyedWriteExpiry, s.config.MaxWatermarks)
 }
 
-// expireWatermark drops a watermark and raises the floor of its group, but not above the position that the primary
-// reported long after: a position that it has not reached by then was lost or never existed.
+// expireWatermark drops a watermark and raises the floor of its group, but not above where a fence found the primary long
+// after: a position that it has not reached by then was lost or never existed. A commit's position does not tell where the
+// primary stands: that of a repeated write is that of its first commit.
 func (s *Sessions) expireWatermark(key sessionKey, held watermark) {
 	delete(s.watermarks.bySession, key)
 	g := s.groupByID(key.group)
 	p := held.position
-	if p > g.primaryPosition && g.primaryConfirmedAt > held.recordedAt+positionSettleTime {
-		p = g.primaryPosition
+	if p > g.fencedPosition && g.fencedAt > held.recordedAt+positionSettleTime {
+		p = g.fencedPosition
 	}
 	if p > g.floor {
 		g.floor, g.floorSetAt = p, s.now
@@ -105,5 +106,4 @@
 		}
 		g.primaryPosition, g.primaryPositionSetAt = p, at
 	}
-	g.primaryConfirmedAt = max(g.primaryConfirmedAt, at)
 }
