The end of a shutdown answers what waits for a floor or for the ledger too

Cause: the time by which all is to be answered was set where txns enter the decision module directly and for those open there. Session reads enter it later by another way, and neither reads that wait for their floor nor answers that wait for the ledger are in it. Evidence: "request ends without an answer ... reason=event loop ended" 3.13 s after SIGTERM, for reads whose own time ends after 3.45 s.

Change: one way into the decision module, which limits the txn; one function that limits all open txns wherever they wait; what begins to wait later is limited as it begins. Why it works: no path is left by which a txn waits with its full time.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -282,15 +282,35 @@
 	}
 	g.answerDeadline = g.clock.now() + acceptPeriod + min(decide.Millis(maxHardLimit), maxKillDelay) - killMargin
 	g.shutdownDeadline = g.answerDeadline + readMargin
-	for _, id := range slices.Sorted(maps.Keys(g.byID)) {
-		g.module.LimitExpiry(id, g.answerDeadline)
-	}
+	g.limitOpenTxns()
 	g.deadlines.Add(int64(g.clock.now()+acceptPeriod), timerEvent{kind: timerCloseClients})
 	g.deadlines.Add(int64(g.answerDeadline), timerEvent{kind: timerCloseListener})
 	g.deadlines.Add(int64(g.shutdownDeadline), timerEvent{kind: timerEndLoop})
 	g.log.Info("leaving", "clients", g.clients.conns.Len(), "txns", g.txns.Len())
 }
 
+// limitOpenTxns has all open txns answered by answerDeadline, wherever they wait: in the decision module, in the session
+// module for a floor, or for the ledger.
+func (g *Gateway) limitOpenTxns() {
+	for _, id := range slices.Sorted(maps.Keys(g.byID)) {
+		g.module.LimitExpiry(id, g.answerDeadline)
+		if ref := g.byID[id]; g.txns.Get(ref).delayedResponse != nil {
+			g.deadlines.Add(int64(g.answerDeadline), timerEvent{kind: timerAnswer, ref: ref})
+		}
+	}
+	if g.sessions != nil {
+		g.sessions.Module.LimitReads(int64(g.answerDeadline))
+	}
+}
+
+// latestAnswer is when a txn that may take until a given time is answered at the latest: earlier during a shutdown.
+func (g *Gateway) latestAnswer(at decide.Nanos) decide.Nanos {
+	if g.shuttingDown {
+		return min(at, g.answerDeadline)
+	}
+	return at
+}
+
 // closeIdleClients is the second phase of the shutdown: clients are disconnected once their requests are answered. A query
 // may cross the close of its connection and be retried on a new one; it is served, as rejecting it would lose it.
 func (g *Gateway) closeIdleClients() {
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -56,7 +56,7 @@
 		minPosition = g.clientPosition(t)
 	}
 	t.awaitingFloor, t.heldUntil = true, g.clock.now()+budget
-	g.sessions.AddRead(t.id, t.comment.Group, t.session, minPosition, t.comment.Token, int64(t.heldUntil))
+	g.sessions.AddRead(t.id, t.comment.Group, t.session, minPosition, t.comment.Token, int64(g.latestAnswer(t.heldUntil)))
 }
 
 // recordSessionCommit records a session's write before it is answered, and returns the message with the token that its client
@@ -159,11 +159,10 @@
 // routeSessionRead passes a read to the decision module with the age of the position that it must see, 0 for none.
 func (g *Gateway) routeSessionRead(t *txn, age decide.Nanos) (ok bool) {
 	t.awaitingFloor = false
-	if err := g.module.AddTxn(t.id, t.class, 0, t.session, max(1, t.heldUntil-g.clock.now()), 0, t.comment.Group, age); err != nil {
+	if err := g.addToModule(t, max(1, t.heldUntil-g.clock.now()), age); err != nil {
 		g.rollBack(t.id)
 		return false
 	}
-	g.generations.restrictReads(t)
 	return true
 }
 
@@ -224,7 +223,7 @@
 
 // SetAnswerDeadline has a waiting answer sent at a given time even if its ledger record is not written by then.
 func (x sessionHost) SetAnswerDeadline(ref slots.Ref, at int64) {
-	x.g.deadlines.Add(at, timerEvent{kind: timerAnswer, ref: ref})
+	x.g.deadlines.Add(int64(x.g.latestAnswer(decide.Nanos(at))), timerEvent{kind: timerAnswer, ref: ref})
 }
 
 // hashKey hashes an idempotency key to a non-zero number.
--- a/gateway/txns.go
+++ b/gateway/txns.go
@@ -141,15 +141,23 @@
 			age = -1 // 0 means no position
 		}
 	}
-	if err := g.module.AddTxn(t.id, t.class, 0, t.session, budget, 0, comment.Group, age); err != nil {
+	if err := g.addToModule(added, budget, age); err != nil {
 		g.releaseIfDone(c.txn, true)
 		return err.Error()
 	}
-	g.generations.restrictReads(added)
+	return ""
+}
+
+// addToModule adds a txn to the decision module, which from then on decides when it ends.
+func (g *Gateway) addToModule(t *txn, budget, writeAge decide.Nanos) error {
+	if err := g.module.AddTxn(t.id, t.class, 0, t.session, budget, 0, t.comment.Group, writeAge); err != nil {
+		return err
+	}
+	g.generations.restrictReads(t)
 	if g.shuttingDown {
 		g.module.LimitExpiry(t.id, g.answerDeadline)
 	}
-	return ""
+	return nil
 }
 
 // routingAttributes returns the attributes that a route is chosen by, filled in only if there are routes.
--- a/session/fences.go
+++ b/session/fences.go
@@ -100,6 +100,13 @@
 	return r.clientPosition <= max(floor, r.group.primaryPosition, r.group.maxMemberPosition)
 }
 
+// LimitReads has the reads that wait refused in time to be answered by a given time.
+func (s *Sessions) LimitReads(until int64) {
+	for _, r := range s.reads {
+		r.deadline = min(r.deadline, until-minDeadlineReserve)
+	}
+}
+
 // CancelRead removes a read whose client is gone.
 func (s *Sessions) CancelRead(id uint64) {
 	if r := s.reads[id]; r != nil {
