Fences: the wait for a slow one is bounded, and a failed one ends the rush where positions are untold

After one fence that took two seconds the next was asked for after four only, past the time of the reads that wait; it is eight times fence_wait now at most. Where a primary tells no position each waiting read is sent to it, once each; a fence that fails goes back to one at a time.

--- a/session/fences.go
+++ b/session/fences.go
@@ -34,6 +34,7 @@
 	arrivedAt       int64
 	deadline        int64
 	arrival         uint64 // number in the order of arrival
+	fenceID         uint64 // the latest fence that was asked with it, 0 for none
 	group           *group
 }
 
@@ -145,7 +146,7 @@
 // it is the primary.
 func (s *Sessions) FenceCompleted(groupID int, requestID uint64, p Position) {
 	g := s.groupByID(groupID)
-	i := slices.IndexFunc(g.pendingFences, func(f fenceRequest) bool { return f.id == requestID })
+	i := g.fenceIndex(requestID)
 	if i < 0 {
 		return
 	}
@@ -229,11 +230,12 @@
 // FenceFailed reports that a fence has no response: no primary is known, it drains, or it did not respond as one.
 func (s *Sessions) FenceFailed(groupID int, requestID uint64) {
 	g := s.groupByID(groupID)
-	i := slices.IndexFunc(g.pendingFences, func(f fenceRequest) bool { return f.id == requestID })
+	i := g.fenceIndex(requestID)
 	if i < 0 {
 		return
 	}
 	g.pendingFences = slices.Delete(g.pendingFences, i, i+1)
+	g.positionsUntold = false
 	g.nextFenceAt = s.now + fenceRetryInterval
 	if g.consecutiveFenceFailures++; g.consecutiveFenceFailures > 10 && !g.primaryUnavailable {
 		g.primaryUnavailable = true
@@ -328,10 +330,17 @@
 		if !s.mayRequestFence(g) {
 			return
 		}
-		s.fenceWith(g, r)
+		if !g.positionsUntold || g.fenceIndex(r.fenceID) < 0 {
+			s.fenceWith(g, r)
+		}
 	}
 }
 
+// fenceIndex is the index of a fence in flight, -1 if it is not.
+func (g *group) fenceIndex(id uint64) int {
+	return slices.IndexFunc(g.pendingFences, func(f fenceRequest) bool { return f.id == id })
+}
+
 // mayRequestFence reports whether a fence may be asked for: one at a time, the next begins when this one ends or takes too
 // long.
 func (s *Sessions) mayRequestFence(g *group) bool {
@@ -345,11 +354,13 @@
 // fenceOverdueAt is when the latest fence in flight takes too long: it costs the primary a read, which may take longer than
 // FenceTimeout.
 func (s *Sessions) fenceOverdueAt(g *group) int64 {
-	return g.pendingFences[len(g.pendingFences)-1].sentAt + max(s.config.FenceTimeout, fenceDurations*g.fenceDuration)
+	expected := min(fenceDurations*g.fenceDuration, maxFenceTimeouts*s.config.FenceTimeout)
+	return g.pendingFences[len(g.pendingFences)-1].sentAt + max(s.config.FenceTimeout, expected)
 }
 
 func (s *Sessions) fenceWith(g *group, r *read) {
 	s.lastRequestID++
+	r.fenceID = s.lastRequestID
 	s.stats.FenceRequests++
 	g.pendingFences = append(g.pendingFences,
 		fenceRequest{id: s.lastRequestID, sentAt: s.now, lossCount: s.lossCount, lastArrival: s.lastArrival})
--- a/session/session.go
+++ b/session/session.go
@@ -155,6 +155,7 @@
 	minDeadlineReserve     = 20e6 // and at least this long
 	maxPendingFences       = 64   // fences of a group in flight
 	fenceDurations         = 2    // times as long as the last one a fence may take before the next is asked
+	maxFenceTimeouts       = 8    // and at most so many times FenceTimeout
 	fenceRetryInterval     = 5e6  // a fence that failed is requested again after this
 
 	// Keyed writes.
