--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -15,7 +15,7 @@
   span        = "10s"  # a watermark is kept for so long, then its group's floor takes its place
   key_span    = "60s"  # the key of a write that was sent is known for so long
   most_marks  = 100000 # about 100 bytes each
-  fence_wait  = "50ms" # a primary that has not told its position is asked again
+  fence_wait  = "50ms" # another read goes to a primary that has not answered the last; longer where its reads take longer
   retry_after = "200ms" # what clients are told whose reads could not be covered in their time
 
   # Other gateways, by UDP.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,8 +2,9 @@
 // module in package decide makes all decisions.
 //
 // One event loop owns the module and all tables. Dials, the timer and signals run in other goroutines and only post to it.
-// gateway.go starts and stops a gateway, loop.go has the event loop's turns, clients.go and txns.go the clients' requests,
-// members.go the connections to members, discovery.go the member list, and budget.go the file descriptors.
+// gateway.go starts and stops a gateway, loop.go has the event loop's turns, clients.go the client connections,
+// clientmessages.go and clientinput.go what they send, txns.go their requests, members.go the connections to members,
+// discovery.go the member list, and budget.go the file descriptors.
 package gateway
 
 import (
