Review case 9: a read goes to a replica on another gateway's word, after the replica denied it

Cause: a gateway reports to the others as "primary at position P" whoever it takes for the primary, even by the list alone, with the highest position that it knows of that member, which may be another gateway's word on it as a replica. The receiver takes P for the time of the role, so the word goes before the member's own answer.

--- a/review/review_2_test.go
+++ b/review/review_2_test.go
@@ -10,3 +10,6 @@
 
 // TestReviewCase8: final answers come too late from a gateway that stood still.
 func TestReviewCase8(t *testing.T) { runCase(t, "8") }
+
+// TestReviewCase9: a gateway takes a replica for the primary on another gateway's word, after the replica itself denied it.
+func TestReviewCase9(t *testing.T) { runCase(t, "9") }
