Review case 10: a route by which lookups get seconds too old passes the checks

Cause: the check of a route's `type` takes "causal" for stronger than "lag_bound". A causal read without a token goes to any replica.

--- a/review/review_2_test.go
+++ b/review/review_2_test.go
@@ -13,3 +13,6 @@
 
 // TestReviewCase9: a gateway takes a replica for the primary on another gateway's word, after the replica itself denied it.
 func TestReviewCase9(t *testing.T) { runCase(t, "9") }
+
+// TestReviewCase10: a route by which reads get older than their txn type allows passes the checks.
+func TestReviewCase10(t *testing.T) { runCase(t, "10") }
