Review case 10: after a step of the wall clock a lagging replica counts as up to date

Cause: the gateway compares positions with a clock that it aligned with the time of day at its start. After a step forward a replica that lags by the step looks like one that is up to date, and the primary's positions, which would show the step, are dropped.

--- a/review/review_2_test.go
+++ b/review/review_2_test.go
@@ -14,5 +14,5 @@
 // TestReviewCase9: a gateway takes a replica for the primary on another gateway's word, after the replica itself denied it.
 func TestReviewCase9(t *testing.T) { runCase(t, "9") }
 
-// TestReviewCase10: a route by which reads get older than their txn type allows passes the checks.
+// TestReviewCase10: after a step of the wall clock a replica that lags by as much counts as up to date.
 func TestReviewCase10(t *testing.T) { runCase(t, "10") }
