--- a/review/rig2/attempts_after_close.go
+++ b/review/rig2/attempts_after_close.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-func init() { cases["6"] = attemptsAfterClose }
+func init() { cases["8"] = attemptsAfterClose }
 
 const (
 	stalls = 8 // 24 s of 21 to 36 s
--- a/review/rig2/clock_step.go
+++ b/review/rig2/clock_step.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-func init() { cases["10"] = clockStep }
+func init() { cases["6"] = clockStep }
 
 const (
 	stepAfter   = 2 * time.Second
--- a/review/rig2/late_answers.go
+++ b/review/rig2/late_answers.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-func init() { cases["8"] = lateAnswers }
+func init() { cases["9"] = lateAnswers }
 
 const (
 	lateRounds  = 4
--- a/review/rig2/pushed_drain.go
+++ b/review/rig2/pushed_drain.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-func init() { cases["7"] = pushedDrain }
+func init() { cases["10"] = pushedDrain }
 
 const (
 	basketExpiry = 300 * time.Millisecond
--- a/review/rig2/stale_hint.go
+++ b/review/rig2/stale_hint.go
@@ -14,7 +14,7 @@
 	"time"
 )
 
-func init() { cases["9"] = staleByHint }
+func init() { cases["7"] = staleByHint }
 
 // homebuyer is the deployment homebuyer-calc with one shard.
 func homebuyer() *site {
