After a stall all that has arrived is read before anything is decided or sent

Cause: each readable connection got a turn of decisions and writes of its own before the next event was read, even the end of the same connection. Cancel requests come on a connection that is accepted later still, and an unread list in which a member drains was passed over likewise.

Change: the loop always has a deadline within 50 ms; one that is missed by 25 ms shows a stall, after which everything is read before deadlines are handled and anything is decided or sent. A query older than 20 ms is written only after a look at its client's socket.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,7 @@
 	deadlines     deadlines.Queue[timerEvent]
 	timer         *time.Timer
 	timerSetTo    int64 // 0 if the timer is not set
+	recovery      stallRecovery
 
 	budget          descriptorBudget
 	clients         clients
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -90,6 +90,7 @@
 	timerCloseListener
 	timerEndLoop
 	timerList
+	timerHeartbeat
 )
 
 // input is an event for the module. Inputs are applied at the beginning of a turn in the order of their arrival; decisions
@@ -135,16 +136,21 @@
 		return
 	}
 	g.handlingEvent = true
+	g.checkForStall()
 	event()
 	g.handlingEvent = false
 	g.runTurn()
 }
 
-// runTurn applies the inputs to the module and executes its decisions until none is left.
+// runTurn applies the inputs to the module and executes its decisions until none is left. After a stall it waits for the end
+// of the recovery.
 func (g *Gateway) runTurn() {
 	if g.inTurn || g.handlingEvent || g.loop == nil || g.loopStopped {
 		return
 	}
+	if g.checkForStall(); g.recovery.active {
+		return
+	}
 	g.inTurn = true
 	startedAt := g.clock.now()
 	for {
@@ -158,6 +164,7 @@
 			g.inputs[i] = input{}
 		}
 		g.inputs = g.inputs[:0]
+		g.members.sendHeldQueries()
 		g.generations.processDecisions()
 		if g.agreement != nil {
 			g.agreement.processDecisions()
@@ -262,9 +269,13 @@
 // setTimer sets the only timer to the earliest deadline.
 func (g *Gateway) setTimer() {
 	at, ok := g.deadlines.Next()
-	if !ok || at == g.timerSetTo {
-		return
+	if ok && at != g.timerSetTo {
+		g.setTimerTo(at)
 	}
+}
+
+// setTimerTo sets the timer to a time.
+func (g *Gateway) setTimerTo(at int64) {
 	g.timerSetTo = at
 	wait := time.Duration(max(0, at-int64(g.clock.now())))
 	if g.timer == nil {
@@ -279,6 +290,9 @@
 	if g.timerSetTo != 0 {
 		g.maxTimerDelay = max(g.maxTimerDelay, g.clock.now()-decide.Nanos(g.timerSetTo))
 	}
+	if g.recovery.active && !g.continueRecovery() {
+		return
+	}
 	g.timerSetTo = 0
 	for {
 		d, ok := g.deadlines.PopDue(int64(g.clock.now()))
@@ -309,6 +323,8 @@
 			g.closeIdleClients()
 		case timerCloseListener:
 			g.closeListener()
+		case timerHeartbeat:
+			g.scheduleHeartbeat()
 		}
 	}
 }
@@ -322,6 +338,7 @@
 func (g *Gateway) connOpened(c gnet.Conn) (out []byte, action gnet.Action) {
 	o := c.Context().(*owner)
 	o.opened = true
+	g.recovery.events++
 	if o.hasDescriptor && g.dialsFailing {
 		g.dialsFailing = false
 		g.log.Info("connecting works again")
@@ -332,6 +349,7 @@
 	case ownerLoopHandle:
 		g.loop = c.EventLoop()
 		close(g.started)
+		g.scheduleHeartbeat()
 		g.discovery.queueCachedList()
 		if g.peerLink != nil {
 			go g.peerLink.Receive(func() { g.post(g.receiveDatagrams) })
@@ -368,6 +386,7 @@
 
 // readConn passes received data to the owner of the connection.
 func (g *Gateway) readConn(c gnet.Conn, o *owner) {
+	g.recovery.events++
 	switch o.kind {
 	case ownerClient:
 		g.inputs = append(g.inputs, input{kind: inReadable, ref: o.ref})
@@ -393,6 +412,7 @@
 
 // connClosed releases what a connection held.
 func (g *Gateway) connClosed(c gnet.Conn, o *owner, err error) {
+	g.recovery.events++
 	if o.hasDescriptor {
 		g.budget.release(1)
 	}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -177,12 +177,12 @@
 
 // sendQuery writes the query of a connection's job, unless something forbids it that happened while the connection was
 // being established: its member drains, its group may have forgotten the txn's first submission, or its member is no longer
-// proven to have the data that the txn must see.
+// proven to have the data that the txn must see, or its client has left.
 func (ms *members) sendQuery(ref slots.Ref) {
 	m := ms.conns.Get(ref)
 	now := ms.g.clock.now()
 	expired := m.job.sendBefore > 0 && now >= m.job.sendBefore
-	if m.draining || expired || !ms.g.isStillFresh(&m.job, now) {
+	if m.draining || expired || ms.g.clientHasLeft(&m.job, now) || !ms.g.isStillFresh(&m.job, now) {
 		ms.finishJob(ref, decide.NotSent, false)
 		ms.returnToPool(ref)
 		return
@@ -620,9 +620,12 @@
 		if m.conn.InboundBuffered() > 0 {
 			return false
 		}
-		if m.hasJob {
+		switch {
+		case ms.g.recovery.active: // what arrived during the stall may forbid to send the query
+			ms.g.recovery.heldQueries = append(ms.g.recovery.heldQueries, ref)
+		case m.hasJob:
 			ms.sendQuery(ref)
-		} else {
+		default:
 			m.response = response{}
 			ms.returnToPool(ref)
 		}
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -54,6 +54,7 @@
 	dialErrors     map[string]uint64
 	readsWithheld  uint64
 	queriesDropped uint64
+	stalls         uint64
 }
 
 func newOutcomes() outcomes {
@@ -75,6 +76,7 @@
 	ReadsSent      map[string]uint64 // reads that were to be sent to members, by what proved their data fresh enough
 	ReadsWithheld  uint64            // of those, such whose proof had aged when they were to be written
 	QueriesDropped uint64            // queries rejected unread, as there was no memory for them
+	Stalls         uint64            // times for which the event loop read nothing although a deadline had passed
 	AcceptErrors   map[string]uint64 // failed accepts of client connections, by error
 	DialErrors     map[string]uint64 // failed connects to members and discovery, by error
 }
@@ -87,6 +89,7 @@
 		ReadsSent:      countsByLabel(o.readsSent),
 		ReadsWithheld:  o.readsWithheld,
 		QueriesDropped: o.queriesDropped,
+		Stalls:         o.stalls,
 		AcceptErrors:   maps.Clone(o.acceptErrors),
 		DialErrors:     maps.Clone(o.dialErrors),
 	}
--- a/gateway/txns.go
+++ b/gateway/txns.go
@@ -35,6 +35,7 @@
 	failed          bool           // its response is an error
 	ending          txnOutcome     // how it ended, for statistics
 	arrived         decide.Nanos
+	arrivedAtSocket decide.Nanos // when its client's time began, before it waited behind other queries
 
 	class           int
 	session, key    uint64
@@ -89,7 +90,9 @@
 		return "the comment lacks k, which this txn type needs"
 	}
 	// The client's budget runs while its query waits here: behind another query, for a slow reader, or for an allocation.
-	budget := max(1, decide.Millis(comment.Budget)-c.queuedFor(size, t.arrived))
+	queued := c.queuedFor(size, t.arrived)
+	t.arrivedAtSocket = t.arrived - queued
+	budget := max(1, decide.Millis(comment.Budget)-queued)
 	if t.route.Route >= 0 {
 		if routeExpiry := t.generation.table.Routes[t.route.Route].Expiry; routeExpiry > 0 {
 			budget = min(budget, decide.Nanos(routeExpiry))
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -55,6 +55,8 @@
 		func(x *gateway.Stats) int { return int(x.Outcomes.ReadsWithheld) })
 	counter("queries_dropped_total", "Queries that were rejected unread, as there was no memory for them.",
 		func(x *gateway.Stats) int { return int(x.Outcomes.QueriesDropped) })
+	counter("loop_stalls_total", "Times for which the event loop read nothing although a deadline had passed.",
+		func(x *gateway.Stats) int { return int(x.Outcomes.Stalls) })
 	gauge := func(name, help string, value func(*gateway.Stats) float64) {
 		addMetric(name, help, prometheus.GaugeValue, func(x *gateway.Stats) (float64, bool) {
 			if x.Fleet == nil {
