Pushed lists are followed: on sockets a push is the answer to a watch

Cause: the decision module requested lists in mode "ask" alone. In the simulator a pushed list arrives unprompted; on sockets it arrives as the answer to a watch, which was never opened.

Change: the host says that its lists come by request (listByRequest), and the module requests them in either mode; where they are pushed at once, again 50 to 150 ms after a failure, and without waiting for another gateway's turn. A module without listByRequest decides as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -31,6 +31,8 @@
 	// Member list: backoff of list requests.
 	initialBackoff      = 250 * ms  // first retry of list requests and of trials of suspects, doubled each time
 	maxSubscribeBackoff = 1250 * ms // max backoff of list requests before +/- 50% jitter: docs/design.md has the calculation
+	pushedListBackoff   = 100 * ms  // where lists are pushed: a retry must come well within the grace for drains
+	pushedListAge       = 6000 * ms // after which a change of a pushed list counts as known, whatever has failed
 
 	// Rounds.
 	queueCheckInterval    = 5 * ms   // interval of reviews of open txns: short against any SLA time
@@ -289,14 +291,18 @@
 		g.logPrimaryChange(grp)
 	}
 	if scope == CachedList {
-		// All gateways may have started at once: jitter spreads the first calls.
+		// All gateways may have started at once: jitter spreads the first calls, unless what is pushed counts as known from
+		// the start.
 		g.subscribed, g.subscribeAt = false, g.now+Nanos(g.rng.unit()*float64(initialBackoff))
+		if g.settings.MembershipMode == "push" {
+			g.subscribeAt = g.now
+		}
 		return
 	}
-	if !g.subscribed && g.settings.MembershipMode == "ask" {
+	if !g.subscribed && g.settings.requestsList() {
 		g.log("list followed, %d members", g.servingMembers)
 	}
-	g.subscribed, g.subscribeBackoff = true, initialBackoff
+	g.subscribed, g.subscribeBackoff = true, g.settings.firstSubscribeBackoff()
 }
 
 // MemberListFailed records that a list request failed or that the subscription broke.
@@ -307,7 +313,7 @@
 	// Retries come well within the time after which the rules assume that an instance knows a change: a
 	// request that times out, this backoff and the request that succeeds take under six seconds.
 	g.subscribed, g.subscribeAt = false, g.now+Nanos((0.5+g.rng.unit())*float64(g.subscribeBackoff))
-	g.subscribeBackoff = min(g.subscribeBackoff*2, g.settings.Rules.MaxListAge/4, maxSubscribeBackoff)
+	g.subscribeBackoff = min(g.subscribeBackoff*2, g.settings.maxSubscribeBackoff())
 }
 
 // isExcluded reports whether a member must get no new txns. If the list does not prove what is running, only
@@ -524,10 +530,10 @@
 
 // subscribe subscribes to the member list and repeats a request that got no response.
 func (g *Gateway) subscribe() (Decision, bool) {
-	if g.settings.MembershipMode != "ask" || g.subscribed || g.now < g.subscribeAt {
+	if !g.settings.requestsList() || g.subscribed || g.now < g.subscribeAt {
 		return Decision{}, false
 	}
-	g.subscribeAt = g.now + g.settings.Rules.MaxListAge/2
+	g.subscribeAt = g.now + g.settings.maxListAge()/2
 	return Decision{Kind: SubscribeList}, true
 }
 
@@ -540,7 +546,7 @@
 	next := g.now + max(interval, g.settings.Tick)
 	// A later wake that is already scheduled is not enough for a txn that has arrived since and has little
 	// time left.
-	idle := len(g.openTxns) == 0 && (g.subscribed || g.settings.MembershipMode != "ask")
+	idle := len(g.openTxns) == 0 && (g.subscribed || !g.settings.requestsList())
 	if idle || g.wakeAt > g.now && g.wakeAt <= next {
 		return Decision{}, false
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -385,6 +385,28 @@
 	//  12010 log: list followed, 1 members
 }
 
+// A pushed list comes to a host that asks for it: the first request is made at once, and a failed one is repeated well within
+// the grace for drains however often it has failed. A host to which lists come by themselves requests none.
+func Example_subscribeToPushedList() {
+	for _, byRequest := range []string{"true", "false"} {
+		t := open(`"push"`, `"push","listByRequest":`+byRequest, `"askWithinMs":10000,`, ``)
+		t.hideLog = false
+		t.g.UpdateMember(Server{'a'}, 0, false, Ready, 0, 1, 0, 0)
+		t.g.EndMemberList(CachedList)
+		for at := 10100.0; at < 10700; at += 200 {
+			t.run(at).g.MemberListFailed()
+		}
+		t.run(10900).g.EndMemberList(Delta)
+		t.run(10950)
+	}
+	// Output:
+	// 10010 subscribe to the list
+	//  10200 subscribe to the list
+	//  10360 subscribe to the list
+	//  10600 subscribe to the list
+	//  10910 log: list followed, 1 members
+}
+
 // Every txn gets one final answer before it expires, and later events change nothing.
 func Example_finalAnswer() {
 	t := open().list("a").txn(1, 2, 0).txn(2, 3, 0).txn(3, 0, 5).printRound()
--- a/decide/site.go
+++ b/decide/site.go
@@ -49,8 +49,10 @@
 	}
 	Zone           int `json:"locality"`
 	MembershipMode string
-	ObjectiveMix   struct{ WorstClass float64 }
-	Rules          struct {
+	// A host that gets lists only in answers to its requests sets it, whatever the platform calls the mode.
+	ListByRequest bool
+	ObjectiveMix  struct{ WorstClass float64 }
+	Rules         struct {
 		MaxListAge     Nanos `json:"askWithinMs"`
 		ColdFrom       float64
 		ColdDuration   Nanos `json:"coldMs"`
@@ -61,6 +63,31 @@
 	Tick Nanos `json:"tickMs"`
 }
 
+// requestsList reports whether the member list comes only in answers to requests.
+func (s *settings) requestsList() bool { return s.MembershipMode == "ask" || s.ListByRequest }
+
+// maxListAge is the age that the list may have. A pushed list has none by the settings; a change of it counts as known at
+// once, and after pushedListAge whatever has failed.
+func (s *settings) maxListAge() Nanos {
+	if s.MembershipMode == "push" {
+		return pushedListAge
+	}
+	return s.Rules.MaxListAge
+}
+
+// firstSubscribeBackoff is how long the first retry of a list request waits.
+func (s *settings) firstSubscribeBackoff() Nanos {
+	return min(initialBackoff, s.maxSubscribeBackoff())
+}
+
+// maxSubscribeBackoff is how long a retry of a list request waits at most, before jitter.
+func (s *settings) maxSubscribeBackoff() Nanos {
+	if s.MembershipMode == "push" {
+		return pushedListBackoff
+	}
+	return min(s.maxListAge()/4, maxSubscribeBackoff)
+}
+
 // parseSettings decodes the settings. The error names the first value that is missing or unknown.
 func parseSettings(text []byte) (*settings, error) {
 	s := new(settings)
--- a/decide/state.go
+++ b/decide/state.go
@@ -247,7 +247,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{settings: s, rng: newPCG(seed), baseLateness: initialBaseLateness, subscribeBackoff: initialBackoff,
+	g := &Gateway{settings: s, rng: newPCG(seed), baseLateness: initialBaseLateness, subscribeBackoff: s.firstSubscribeBackoff(),
 		members: map[Server]*member{}, txns: map[uint64]*txn{}, listedMembers: map[Server]bool{},
 		unserved: map[sessionClass]Nanos{},
 		stats:    make([]classStats, len(s.Classes))}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -119,8 +119,12 @@
 		How    string
 	}
 	MachineTypes, Zones []string
+	MembershipMode      string
 }
 
+// pushesLists reports whether a change of the member list counts as known as soon as the list service has it.
+func (s *platformSettings) pushesLists() bool { return s.MembershipMode == "push" }
+
 // validate returns an error that names the first missing or invalid value.
 func (c *Config) validate() (seed uint64, settings platformSettings, err error) {
 	invalid := func(name string) (uint64, platformSettings, error) {
@@ -197,7 +201,8 @@
 }
 
 // moduleSettings returns the settings for the decision module: positions count from the clock's zero, as this gateway
-// reports them, and limits.peers is true only if the operator enables peers, since the platform merely permits them.
+// reports them, limits.peers is true only if the operator enables peers, since the platform merely permits them, and lists come
+// only in answers to requests, since on sockets a push is the answer to a watch.
 // Where members do not check reads, bounds are shortened by the clock error: a position may come from a clock that is ahead.
 func moduleSettings(settings json.RawMessage, peers bool, clockError time.Duration) ([]byte, error) {
 	var all, family, limits map[string]json.RawMessage
@@ -226,6 +231,7 @@
 		family["oldestDataMs"] = shortened
 	}
 	limits["peers"] = json.RawMessage(strconv.FormatBool(peers))
+	all["listByRequest"] = json.RawMessage("true")
 	var err error
 	if all["limits"], err = json.Marshal(limits); err != nil {
 		return nil, err
--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -90,13 +90,13 @@
 }
 
 // startCall requests changes or the whole list from discovery, unless a call of the kind is in progress or held back
-// by the coordination between gateways.
+// by the coordination between gateways. Where lists are pushed none is held back, as a change counts as known at once.
 func (ds *discoveryClient) startCall(kind callKind) {
 	c := &ds.calls[kind]
 	if c.awaitingResponse || c.dialing {
 		return
 	}
-	if x := ds.g.coordination; x != nil && x.deferCall(kind, c.lastFailure != "") {
+	if x := ds.g.coordination; x != nil && !ds.g.names.pushesLists() && x.deferCall(kind, c.lastFailure != "") {
 		return
 	}
 	c.waitMs = 0 // the first watch is answered immediately, which shows that the watch works
