Positions are compared with the clock of their group, which may be stepped

Cause: positions are times of the servers' clock; they were compared with a clock joined with it once, at the start, and those over 5 ms ahead, which show the step, were dropped. The marks of sessions' writes, and what of two words on a role is newer, went by the same clock.

Change: each group has an estimate of how far its clock is ahead (decide/groupclock.go). A position ahead raises it and proves nothing until confirmed, a primary's answer bounds it, and so does a step of this machine's own wall clock. Without a step decisions are as before. RaiseSessionPosition is gone, as SubmissionEnded takes such positions itself; its Example and the check on malformed positions ask the module now, the latter with repeated ones too.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -167,8 +167,12 @@
 	if unread(r) {
 		m.roleUnreadAt = g.now
 	}
-	role = g.answeredRole(s, r, role, position)
-	g.recordAnswer(m, role, g.provenPosition(t, r, position))
+	placed := Nanos(0)
+	if position > 0 {
+		placed = g.placePosition(t.group, role == RolePrimary, g.settings.Replication.PositionEpoch+position, s.sentAt)
+	}
+	role = g.answeredRole(s, r, role, placed)
+	g.recordAnswer(m, role, g.provenPosition(t, r, placed))
 	g.recordReport(m, report, role)
 	if role == RolePrimary && g.settings.Replication.WhenBehind != "none" {
 		m.advancePosition(s.sentAt) // a primary's position is the present
@@ -188,7 +192,7 @@
 	case NotEligible:
 		g.markResponsive(m)
 		if required := g.requiredPosition(t, s.sentAt); required > 0 && position == 0 {
-			m.lastLag, m.lagSeenAt = max(g.estimatedLag(m), g.now-required+tokenWait), g.now
+			m.lastLag, m.lagSeenAt = max(g.estimatedLag(m), t.group.groupTime(g.now)-required+tokenWait), g.now
 		}
 		// On servers that wait for a position before they refuse, a refused read has had its wait (step 5).
 		// After an immediate refusal it has not.
@@ -866,7 +870,7 @@
 		// Step 4 on servers that check positions: the server waits for the position, if a replica can reach
 		// it within that time.
 		m := g.leastLoaded(t, func(m *member) bool {
-			return m != p && g.now-g.estimatedLag(m)+g.settings.Replication.ReplicaWait >= required
+			return m != p && t.group.groupTime(g.now)-g.estimatedLag(m)+g.settings.Replication.ReplicaWait >= required
 		})
 		if m != nil {
 			return m
@@ -901,7 +905,8 @@
 // servesLongReads reports whether a replica is one of the few that take such reads: those with the lowest
 // position known to all gateways, so that gateways agree on them and no current replica is used up.
 func (g *Gateway) servesLongReads(m, primary *member) bool {
-	positionOf := func(o *member) Nanos { return min(cmp.Or(o.position, g.now), g.now-lagEquivalence) } // 0 means unknown
+	now := m.group.groupTime(g.now)
+	positionOf := func(o *member) Nanos { return min(cmp.Or(o.position, now), now-lagEquivalence) } // 0 means unknown
 	ahead, eligible, seen := 0, 0, false
 	for _, o := range m.group.members {
 		seen = seen || o == m
--- a/decide/freshness.go
+++ b/decide/freshness.go
@@ -62,16 +62,7 @@
 	case r == Committed && position > 0:
 		w.committed = max(w.committed, g.settings.Replication.PositionEpoch+position)
 	case r == Committed || mayHaveRun(r):
-		w.possible = max(w.possible, g.now)
-	}
-}
-
-// RaiseSessionPosition makes reads of a session see at least a position of a group, such as that of a commit whose
-// position is too far ahead of the clock to prove anything about its member.
-func (g *Gateway) RaiseSessionPosition(groupID int, session uint64, at Nanos) {
-	if g.remembersWrites() && session != 0 {
-		w := g.groupOf(groupID).writesOf(session)
-		w.committed = max(w.committed, at)
+		w.possible = max(w.possible, t.group.groupTime(g.now))
 	}
 }
 
@@ -92,7 +83,8 @@
 }
 
 // requiredPosition is the position that a read sent at a given time must see, 0 if any replica will do.
-func (g *Gateway) requiredPosition(t *txn, at Nanos) Nanos {
+func (g *Gateway) requiredPosition(t *txn, sentAt Nanos) Nanos {
+	at := t.group.groupTime(sentAt)
 	switch g.consistencyOf(t) {
 	case "lag_bound":
 		return at - Nanos((1-stalenessMargin)*float64(g.settings.Replication.MaxStaleness[t.class]))
@@ -104,7 +96,7 @@
 	return t.token
 }
 
-// sessionPosition is the position that a read of a session sent at a given time must see by what is remembered of its
+// sessionPosition is the position that a read of a session sent at a given time of the group's clock must see by what is remembered of its
 // writes, 0 if every replica is known to have reached it (step 2). Members that check reads enforce what the session
 // was answered, and no more.
 func (grp *group) sessionPosition(session uint64, at Nanos, checked bool) Nanos {
@@ -177,7 +169,7 @@
 	case "strong":
 		return isPrimary && m.role == RolePrimary
 	case "lag_bound":
-		return isPrimary || m.position >= now-g.settings.Replication.MaxStaleness[t.class]
+		return isPrimary || m.position >= t.group.groupTime(now)-g.settings.Replication.MaxStaleness[t.class]
 	}
 	return isPrimary || m.position >= g.requiredPosition(t, now)
 }
@@ -224,7 +216,7 @@
 	switch {
 	case role == RoleUnknown && r == NotEligible:
 		return RoleReplica
-	case role == RolePrimary && m.role == RoleReplica && s.sentAt < m.roleAt && g.settings.Replication.PositionEpoch+position <= m.roleAt:
+	case role == RolePrimary && m.role == RoleReplica && s.sentAt < m.roleAt && position <= m.group.groupTime(m.roleAt):
 		return RoleUnknown
 	}
 	return role
@@ -252,28 +244,40 @@
 		g.logPrimaryChange(m.group)
 	}
 	if position > 0 {
-		m.advancePosition(g.settings.Replication.PositionEpoch + position)
-		m.lastLag, m.lagSeenAt, m.positionSeenAt = g.now-(g.settings.Replication.PositionEpoch+position), g.now, g.now
+		m.advancePosition(position)
+		m.lastLag, m.lagSeenAt, m.positionSeenAt = m.group.groupTime(g.now)-position, g.now, g.now
 	}
 }
 
 // recordReport applies a load report: its position, which holds even if it is old, and its role unless the answer that it
 // came with tells one.
 func (g *Gateway) recordReport(m *member, report []float64, answered Role) {
+	position, role := g.readReport(report) // a primary's position is the time of its report
+	placed := g.placePosition(m.group, role == RolePrimary, position, g.now-maxReportDelay)
+	if placed > 0 {
+		m.advancePosition(placed)
+		lag := m.group.groupTime(g.now) - placed
+		m.lastLag, m.lagSeenAt, m.positionSeenAt = max(min(g.estimatedLag(m), lag), lag-maxReportDelay), g.now, g.now
+	}
+	if role != RoleUnknown && answered == RoleUnknown {
+		g.recordReportedRole(m, role == RolePrimary, placed)
+	}
+}
+
+// readReport returns the position and the role that a load report tells, 0 and RoleUnknown if it tells none.
+func (g *Gateway) readReport(report []float64) (position Nanos, role Role) {
 	fields := g.settings.LoadReport.Fields
-	var position Nanos // a primary's is the time of its report
 	for i, field := range fields[:min(len(fields), len(report))] {
-		if field == "x0" && report[i] > 0 {
+		switch {
+		case field == "x0" && report[i] > 0:
 			position = g.settings.Replication.PositionEpoch + Millis(report[i]*1000)
-			m.advancePosition(position)
-			m.lastLag, m.lagSeenAt, m.positionSeenAt = max(min(g.estimatedLag(m), g.now-position), g.now-position-maxReportDelay), g.now, g.now
-		}
-	}
-	for i, field := range fields[:min(len(fields), len(report))] {
-		if field == "x1" && answered == RoleUnknown {
-			g.recordReportedRole(m, report[i] == 1, position)
+		case field == "x1" && report[i] == 1:
+			role = RolePrimary
+		case field == "x1":
+			role = RoleReplica
 		}
 	}
+	return position, role
 }
 
 // recordReportedRole applies the role in a report made no earlier than its position. An answer outweighs it for a
@@ -282,17 +286,17 @@
 	newer := g.now-m.roleAt > answerPrecedence || m.role == RoleUnknown
 	switch {
 	case primary && m.role == RolePrimary:
-		if position > m.roleUnreadAt {
+		if position > m.group.groupTime(m.roleUnreadAt) {
 			m.roleUnreadAt = 0
 		}
-	case primary && newer && (m.role != RoleReplica || position > m.roleAt):
+	case primary && newer && (m.role != RoleReplica || position > m.group.groupTime(m.roleAt)):
 		unreadAt := m.roleUnreadAt
 		g.recordAnswer(m, RolePrimary, 0)
 		m.roleAt = 0
-		if position <= unreadAt {
+		if position <= m.group.groupTime(unreadAt) {
 			m.roleUnreadAt = unreadAt
 		}
-	case !primary && (newer || position > m.roleAt):
+	case !primary && (newer || position > m.group.groupTime(m.roleAt)):
 		m.role = RoleReplica
 		g.logPrimaryChange(m.group)
 	}
--- a/decide/freshness_test.go
+++ b/decide/freshness_test.go
@@ -53,15 +53,70 @@
 	//  10160 submit 2 to a
 }
 
-// A commit's position ahead of the clock proves nothing of its member, but binds its session.
+// A commit's position ahead of the clock proves nothing of its member, but binds its session: a replica that stands where the
+// gateway's clock does gets no read of it.
 func Example_readAfterCommitAheadOfTheClock() {
-	t := openRemembering().list("a* b").txn(1, 2, 0).printRound().end(1, 0, "b", Committed, 2, 9999)
-	t.g.RaiseSessionPosition(0, 7, Millis(60_000))
-	t.txn(2, 0, 0).printRound()
-	fmt.Println(t.g.Next())
+	t := openRemembering().list("a* b").txn(1, 3, 0).txn(3, 2, 0).printRound().end(3, 0, "b", Committed, 2, 10_000)
+	t.end(1, 0, "a", Committed, 1, 15_000).txn(2, 0, 0).printRound().run(10170)
 	// Output:
-	// 10000 submit 1 to b
-	// {0 0 0 0.0.0.0:0 0 0 none 0  []} false
+	// 10000 submit 1 to a
+	//  10000 submit 3 to b
+	//  10150 submit 2 to a
+}
+
+// The clock of a group may be stepped, either way. What its primary tells moves what bounded reads must see: a replica that
+// lags by the step, so that its position looks like the present here, gets none, and neither does one whose position is from
+// before a step back.
+func Example_boundedReadAfterStepOfTheClock() {
+	t := openUnchecked(`"how":"none","fields":[]`, `"how":"probe","fields":["x0","x1"]`).list("a* b")
+	t.hideLog = false
+	primaryTells := func(id uint64, at, position float64) {
+		t.at(at).txn(id, 3, 0).printRound().at(at+10).end(id, 0, "a", Committed, 1, position)
+	}
+	replicaTells := func(at, position float64) {
+		t.at(at).g.ProbeEnded(Server{'b'}, Committed, Millis(5), []float64{position / 1000, 2})
+	}
+	read := func(id uint64, at float64) { t.at(at).txn(id, 1, 0).printRound() }
+	primaryTells(1, 10_000, 10_005)
+	replicaTells(10_020, 10_010)
+	read(2, 10_030)
+	primaryTells(3, 10_040, 15_045) // stepped by 5 s
+	replicaTells(10_060, 10_055)    // it lags by 5 s
+	read(4, 10_070)
+	replicaTells(10_080, 15_070) // it has made up the lag
+	read(5, 10_090)
+	primaryTells(6, 10_100, 10_105) // stepped back
+	read(7, 10_120)
+	replicaTells(10_130, 10_120)
+	read(8, 10_140)
+	// Output:
+	// 10000 submit 1 to a
+	//  10000 log: group 0: primary 97.0.0.0:0, named by the list alone
+	//  10030 submit 2 to b
+	//  10040 submit 3 to a
+	//  10070 submit 4 to a
+	//  10070 log: group 0: its clock is 4995 ms ahead
+	//  10090 submit 5 to b
+	//  10100 submit 6 to a
+	//  10120 submit 7 to a
+	//  10120 log: group 0: its clock is 5 ms ahead
+	//  10140 submit 8 to b
+}
+
+// After a step of the group's clock a write that broke off counts as committed by what that clock shows, not by this gateway's.
+func Example_sessionReadAfterStepOfTheClock() {
+	t := openRemembering(`"how":"none","fields":[]`, `"how":"probe","fields":["x0","x1"]`).list("a* b").at(10_010)
+	t.g.ProbeEnded(Server{'a'}, Committed, Millis(5), []float64{15.005, 1})
+	t.txn(2, 3, 0).printRound().at(10_020).end(2, 0, "a", Broken, 0, 0)
+	t.at(10_030).txn(3, 2, 0).printRound().at(10_040).end(3, 0, "b", Committed, 2, 10_035) // it lags by 5 s
+	t.txn(4, 0, 0).printRound().at(10_060).txn(5, 2, 0).printRound().at(10_070).end(5, 0, "b", Committed, 2, 15_060)
+	t.printRound()
+	// Output:
+	// 10010 submit 2 to a
+	//  10030 roll back 2
+	//  10030 submit 3 to b
+	//  10060 submit 5 to b
+	//  10070 submit 4 to b
 }
 
 // A floor by the writes at other gateways does not hide a write that broke off here.
--- a/decide/site.go
+++ b/decide/site.go
@@ -31,6 +31,7 @@
 		PositionEpoch  Nanos `json:"countedFromMs"`
 		ReplicaWait    Nanos `json:"waitMs"`
 		AnswersStamped bool
+		ClockError     Nanos `json:"clockErrorMs"` // by which the clocks of servers may differ
 	} `json:"familyInfo"`
 	FleetSize int
 	Limits    struct {
--- a/decide/state.go
+++ b/decide/state.go
@@ -108,6 +108,7 @@
 	answeredAt    Nanos
 	writes        map[uint64]*sessionWrites // by session, if they are to be remembered here
 	forgotten     Nanos                     // highest position of a write that was deleted from writes
+	clockLead     Nanos                     // how far the clock of its servers is ahead of this gateway's, as estimated
 }
 
 // submission is one attempt of a txn at a member.
@@ -213,6 +214,7 @@
 	pendingUpdates     []*member   // members whose position is to be sent to other gateways
 	needingPosition    []*member   // members skipped for lack of proof and not queried since
 	groups             []*group
+	clockLead          Nanos // of groups of which no position is known
 	txns               map[uint64]*txn
 	openTxns           []*txn
 	stats              []classStats // by txn type
@@ -264,7 +266,7 @@
 			return grp
 		}
 	}
-	grp := &group{id: id, queues: make([][]*txn, 3*len(g.settings.Classes)), writes: map[uint64]*sessionWrites{}}
+	grp := &group{id: id, queues: make([][]*txn, 3*len(g.settings.Classes)), writes: map[uint64]*sessionWrites{}, clockLead: g.clockLead}
 	g.groups = append(g.groups, grp)
 	slices.SortFunc(g.groups, func(a, b *group) int { return a.id - b.id })
 	return grp
@@ -667,16 +669,16 @@
 // members that were primary the later one counts.
 func (g *Gateway) ReceiveUpdate(update MemberUpdate) {
 	m := g.members[update.Server]
-	if m == nil || update.Position > g.now {
+	if m == nil || update.Position > m.group.groupTime(g.now) {
 		return
 	}
+	toldAt := update.Position - m.group.clockLead // if it is a primary's
 	m.sharedPosition = max(m.sharedPosition, update.Position)
 	m.advancePosition(update.Position)
-	m.lastLag, m.lagSeenAt, m.positionSeenAt = max(min(g.estimatedLag(m), g.now-update.Position),
-		g.now-update.Position-maxReportDelay), g.now, g.now
-	if p := g.primaryOf(m.group); update.Primary && update.Position > max(m.roleAt, m.roleUnreadAt) && (p == nil || update.Position > p.roleAt) {
+	m.lastLag, m.lagSeenAt, m.positionSeenAt = max(min(g.estimatedLag(m), g.now-toldAt), g.now-toldAt-maxReportDelay), g.now, g.now
+	if p := g.primaryOf(m.group); update.Primary && toldAt > max(m.roleAt, m.roleUnreadAt) && (p == nil || toldAt > p.roleAt) {
 		g.recordAnswer(m, RolePrimary, 0)
-		m.roleAt = update.Position
+		m.roleAt = toldAt
 	}
 }
 
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -216,6 +216,7 @@
 		return nil, fmt.Errorf("configuration: settings.limits: %w", err)
 	}
 	family["countedFromMs"] = json.RawMessage("0")
+	family["clockErrorMs"] = json.RawMessage(strconv.FormatInt(clockError.Milliseconds(), 10))
 	if string(family["whenBehind"]) == `"none"` && clockError > 0 {
 		var bounds []float64
 		if err := json.Unmarshal(family["oldestDataMs"], &bounds); err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,7 @@
 	timer         *time.Timer
 	timerSetTo    int64 // 0 if the timer is not set
 	recovery      stallRecovery
+	wallLead      time.Duration // of the wall clock, as last told to the module
 
 	budget          descriptorBudget
 	clients         clients
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -14,41 +14,6 @@
 	"magpieglade/internal/slots"
 )
 
-// clock aligns the time of day, in which positions are given, with a monotonic clock, once at the start. Both count from the
-// same zero, clockLeadMs before the start, so that no relevant time lies before it.
-type clock struct {
-	startedAt   time.Time
-	elapsed     func() time.Duration // since startedAt
-	startOffset decide.Nanos
-	zeroUnixMs  int64
-}
-
-const clockLeadMs = 60 * 1000
-
-func newClock(elapsed func() time.Duration) clock {
-	now := time.Now()
-	zero := now.UnixMilli() - clockLeadMs
-	c := clock{startedAt: now, zeroUnixMs: zero, startOffset: decide.Nanos(now.UnixNano() - zero*1e6)}
-	if c.elapsed = func() time.Duration { return time.Since(now) }; elapsed != nil {
-		start := elapsed()
-		c.elapsed = func() time.Duration { return elapsed() - start }
-	}
-	return c
-}
-
-func (c *clock) now() decide.Nanos { return c.startOffset + decide.Nanos(c.elapsed()) }
-
-// fromUnixMs converts a Unix time in milliseconds to this clock; times before its zero become zero.
-func (c *clock) fromUnixMs(unixMs float64) decide.Nanos {
-	return max(0, decide.Millis(unixMs-float64(c.zeroUnixMs)))
-}
-
-// unixMs converts a time on this clock to Unix milliseconds, as in positions, and rounds up.
-func (c *clock) unixMs(at decide.Nanos) float64 {
-	ms := (at + 999_999) / decide.Millisecond
-	return float64(c.zeroUnixMs + int64(ms))
-}
-
 // owner is the context of a gnet connection: what the connection belongs to.
 type owner struct {
 	kind          ownerKind
@@ -96,20 +61,18 @@
 // input is an event for the module. Inputs are applied at the beginning of a turn in the order of their arrival; decisions
 // and the writes that they cause may add more.
 type input struct {
-	kind     inputKind
-	ref      slots.Ref // a client with unread data, or a txn
-	attempt  int
-	server   decide.Server
-	result   decide.Result
-	elapsed  decide.Nanos
-	role     decide.Role
-	position decide.Nanos
-	report   []float64
-	// Position that is too far ahead of the clock to prove anything: if it is a commit's, reads of its session must see it.
-	requiredPosition decide.Nanos
-	list             *listUpdate
-	fenceAttempt     uint64 // number of the fence request for which a probe seeks the primary, 0 for none
-	group            int    // of the fence request
+	kind         inputKind
+	ref          slots.Ref // a client with unread data, or a txn
+	attempt      int
+	server       decide.Server
+	result       decide.Result
+	elapsed      decide.Nanos
+	role         decide.Role
+	position     decide.Nanos
+	report       []float64
+	list         *listUpdate
+	fenceAttempt uint64 // number of the fence request for which a probe seeks the primary, 0 for none
+	group        int    // of the fence request
 }
 
 type inputKind int
@@ -324,6 +287,7 @@
 		case timerCloseListener:
 			g.closeListener()
 		case timerHeartbeat:
+			g.checkWallClock()
 			g.scheduleHeartbeat()
 		}
 	}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -21,8 +21,6 @@
 	// Messages that belong to no query follow right after a response: a connection is not reused before they have had
 	// time to arrive, or they would be read as the response to the next query.
 	minIdleBeforeReuse = 2 * decide.Millisecond
-	// All machines read the same clock, and a commit's position is rounded up. A position further ahead is ignored.
-	maxPositionLead = 5 * decide.Millisecond
 	// Milliseconds. Reports give positions in seconds with three decimals and do not say which way they are rounded.
 	reportRoundingMs = 1
 )
@@ -398,18 +396,17 @@
 	if a != nil {
 		in.report = a.loadReport
 		in.role = a.role
-		var usable bool
-		if in.position, usable = ms.localPosition(a.position); !usable && a.position > 0 {
-			in.requiredPosition = ms.g.clock.fromUnixMs(a.position)
+		if a.position > 0 {
+			in.position = ms.g.clock.fromUnixMs(a.position)
 		}
 	}
 	ms.g.inputs = append(ms.g.inputs, in)
 }
 
-// localPosition converts a position to the gateway's clock; ok is false if it is missing or too far ahead.
-func (ms *members) localPosition(unixMs float64) (at decide.Nanos, ok bool) {
+// groupPosition converts a position to the gateway's clock; ok is false if it is missing, or ahead of its group's clock.
+func (ms *members) groupPosition(group int, unixMs float64) (at decide.Nanos, ok bool) {
 	at = ms.g.clock.fromUnixMs(unixMs)
-	if unixMs <= 0 || at > ms.g.clock.now()+maxPositionLead+decide.Nanos(ms.g.config.ClockError) {
+	if unixMs <= 0 || !ms.g.module.CanPlacePosition(group, at) {
 		return 0, false
 	}
 	return at, true
@@ -594,11 +591,7 @@
 			continue
 		}
 		if string(name) == "x0" {
-			at, ok := ms.localPosition(x*1000 - reportRoundingMs)
-			if !ok {
-				return nil
-			}
-			x = float64(at) / 1e9
+			x = float64(ms.g.clock.fromUnixMs(x*1000-reportRoundingMs)) / 1e9
 		}
 		report[i] = x
 	}
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -63,7 +63,7 @@
 // is to send with later txns, if any.
 func (g *Gateway) recordSessionCommit(t *txn, unixMs float64) (parameter []byte) {
 	position := session.Position(0)
-	if at, ok := g.members.localPosition(unixMs); ok {
+	if at, ok := g.members.groupPosition(t.comment.Group, unixMs); ok {
 		position = g.sessionPosition(at)
 	}
 	if token := g.sessions.RecordCommit(t.comment.Group, t.session, position); token != nil {
@@ -96,6 +96,9 @@
 			reported = max(reported, decide.Millis(x*1000))
 		}
 	}
+	if !g.module.CanPlacePosition(in.group, reported) {
+		reported = 0
+	}
 	g.fenceFailed(in.group, in.fenceAttempt, reported)
 }
 
@@ -123,7 +126,7 @@
 		return
 	}
 	position := session.Position(0)
-	if at, ok := g.members.localPosition(a.position); ok {
+	if at, ok := g.members.groupPosition(t.comment.Group, a.position); ok {
 		position = g.sessionPosition(at + fenceRounding)
 	}
 	g.sessions.FenceCompleted(t.comment.Group, t.fenceRequest, position)
--- a/gateway/txns.go
+++ b/gateway/txns.go
@@ -361,14 +361,12 @@
 	}
 	t.inFlight--
 	g.outcomes.attempts[in.result]++
+	isPlaced := in.position > 0 && g.module.CanPlacePosition(t.comment.Group, in.position)
 	g.module.SubmissionEnded(t.id, in.attempt, in.server, in.result, in.elapsed, in.role, in.position,
 		t.answered, in.report)
-	if t.fenceRequest != 0 && in.position > 0 { // the group's log has reached it, whoever is its primary
+	if t.fenceRequest != 0 && isPlaced { // the group's log has reached it, whoever is its primary
 		g.sessions.Module.RecordMemberPosition(t.comment.Group, g.sessionPosition(in.position))
 	}
-	if in.requiredPosition > 0 && t.writes && in.result == decide.Committed {
-		g.module.RaiseSessionPosition(t.comment.Group, t.session, in.requiredPosition)
-	}
 	g.releaseIfDone(in.ref, false)
 }
 
