A query's time runs from when it came to the socket, not from when the loop read it

Cause: a query counted as arrived when the loop read it. The same held for the first query of a connection that waits while accept fails.

Change: what came during a stall is dated by the kernel's time of the last data on its socket, no earlier than the last turn before the stall; so is the first input of a connection that was accepted after a failure. Earlier messages of the same piece count from the earliest time.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"magpieglade/decide"
 	"magpieglade/internal/neterr"
 )
 
@@ -12,19 +13,26 @@
 // the loop nor the acceptor: it retries with a backoff until the listener is closed.
 type acceptor struct {
 	listener   net.Listener
-	enroll     func(net.Conn) error
+	enroll     func(conn net.Conn, waited time.Duration) error // waited is how long the connection may have waited, 0 if not at all
 	onFailure  func(err error, first bool)
 	onRecovery func(failures int, duration time.Duration)
 }
 
+// backlogTime is for how long after failures connections are accepted that had to wait.
+const backlogTime = time.Second
+
 // run accepts connections until the listener is closed.
 func (a *acceptor) run() {
 	var backoff neterr.Backoff
-	failures, failingSince := 0, time.Time{}
+	failures, failingSince, recoveredAt := 0, time.Time{}, time.Time{}
 	for {
 		conn, err := a.listener.Accept()
 		if err == nil {
-			err = a.enroll(conn)
+			waited := time.Duration(0)
+			if failures > 0 || !recoveredAt.IsZero() && time.Since(recoveredAt) < backlogTime {
+				waited = time.Since(failingSince)
+			}
+			err = a.enroll(conn, waited)
 		}
 		switch {
 		case errors.Is(err, net.ErrClosed):
@@ -37,7 +45,8 @@
 			a.onFailure(err, failures == 1)
 			time.Sleep(backoff.Next())
 		case failures > 0:
-			a.onRecovery(failures, time.Since(failingSince))
+			recoveredAt = time.Now()
+			a.onRecovery(failures, recoveredAt.Sub(failingSince))
 			failures = 0
 			backoff.Reset()
 		}
@@ -48,7 +57,13 @@
 func (g *Gateway) acceptClients() {
 	a := acceptor{
 		listener: g.listener,
-		enroll:   func(c net.Conn) error { return g.enroll(c, &owner{kind: ownerClient}) },
+		enroll: func(c net.Conn, waited time.Duration) error {
+			o := &owner{kind: ownerClient}
+			if waited > 0 {
+				o.connectedAfter = g.clock.now() - decide.Nanos(waited)
+			}
+			return g.enroll(c, o)
+		},
 		onFailure: func(err error, first bool) {
 			g.post(func() { g.outcomes.acceptErrors[neterr.Label(err)]++ })
 			if first {
--- a/gateway/clientinput.go
+++ b/gateway/clientinput.go
@@ -4,7 +4,6 @@
 	"io"
 	"slices"
 
-	"magpieglade/decide"
 	"magpieglade/internal/pgwire"
 	"magpieglade/internal/slots"
 )
@@ -165,27 +164,6 @@
 	cs.writeClient(c, pgwire.AppendReadyForQuery(out))
 }
 
-// arrival is the time by which a client's bytes up to an offset had arrived.
-type arrival struct {
-	upTo int64
-	at   decide.Nanos
-}
-
-// maxArrivals is how many arrivals are kept per client; later bytes count as having arrived with the last of them.
-const maxArrivals = 32
-
-// recordArrival records the arrival time of the bytes that are new in the buffer, which now holds waiting bytes.
-func (c *client) recordArrival(waiting int, now decide.Nanos) {
-	total := c.consumedBytes + int64(waiting)
-	switch n := len(c.arrivals); {
-	case n > 0 && c.arrivals[n-1].upTo >= total:
-	case n == maxArrivals:
-		c.arrivals[n-1].upTo = total
-	default:
-		c.arrivals = append(c.arrivals, arrival{total, now})
-	}
-}
-
 // consume discards the first size bytes of the buffer, which have been processed.
 func (c *client) consume(size int) {
 	if c.dropped != nil {
@@ -200,13 +178,3 @@
 	}
 	c.arrivals = slices.Delete(c.arrivals, 0, consumed)
 }
-
-// queuedFor returns how long the first size bytes of the buffer have been waiting behind another query or its response.
-func (c *client) queuedFor(size int, now decide.Nanos) decide.Nanos {
-	for _, a := range c.arrivals {
-		if a.upTo >= c.consumedBytes+int64(size) {
-			return now - a.at
-		}
-	}
-	return 0
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,7 +57,8 @@
 	turnTime      decide.Nanos // time of the module's current round
 	deadlines     deadlines.Queue[timerEvent]
 	timer         *time.Timer
-	timerSetTo    int64 // 0 if the timer is not set
+	timerSetTo    int64        // 0 if the timer is not set
+	lastTurnAt    decide.Nanos // when the last turn began
 	recovery      stallRecovery
 	wallLead      time.Duration // of the wall clock, as last told to the module
 
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -22,6 +22,8 @@
 	connNo        uint64 // of a discovery connection: see call.connNo
 	hasDescriptor bool   // holds a descriptor of the budget
 	opened        bool   // the loop has opened the connection
+	// Of a client whose connection had to wait to be accepted: it connected no earlier. 0 for any other.
+	connectedAfter decide.Nanos
 }
 
 type ownerKind int
@@ -116,6 +118,7 @@
 	}
 	g.inTurn = true
 	startedAt := g.clock.now()
+	g.lastTurnAt = startedAt
 	for {
 		g.turnTime = g.clock.now()
 		g.module.BeginRound(g.turnTime)
@@ -353,6 +356,7 @@
 	g.recovery.events++
 	switch o.kind {
 	case ownerClient:
+		g.clients.dateInput(o)
 		g.inputs = append(g.inputs, input{kind: inReadable, ref: o.ref})
 	case ownerMember:
 		g.members.readMember(o.ref)
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -12,7 +12,7 @@
 // A stall is a time in which the event loop read nothing: the process was stopped, got no processor, or a turn took long.
 // Afterwards events are pending that came in an order which the loop does not see, such as a query, its cancellation on
 // another connection, the end of its client and a list in which a member drains. The recovery reads all that has arrived
-// before deadlines are handled and anything is decided or sent.
+// before deadlines are handled and anything is decided or sent, and dates queries by their arrival.
 
 const (
 	heartbeatInterval = 50 * decide.Millisecond // between deadlines of the loop that serve to notice a stall
@@ -28,9 +28,10 @@
 type stallRecovery struct {
 	active      bool
 	startedAt   decide.Nanos
-	events      int         // connections opened, read and closed since the last round
-	quietRounds int         // rounds in a row without any
-	heldQueries []slots.Ref // member connections that became ready for their query
+	stalledFrom decide.Nanos // what the loop finds unread arrived no earlier
+	events      int          // connections opened, read and closed since the last round
+	quietRounds int          // rounds in a row without any
+	heldQueries []slots.Ref  // member connections that became ready for their query
 }
 
 // checkForStall begins a recovery if the earliest deadline has been missed by more than stallThreshold.
@@ -40,7 +41,7 @@
 		return
 	}
 	g.outcomes.stalls++
-	g.recovery = stallRecovery{active: true, startedAt: now, heldQueries: g.recovery.heldQueries[:0]}
+	g.recovery = stallRecovery{active: true, startedAt: now, stalledFrom: g.lastTurnAt, heldQueries: g.recovery.heldQueries[:0]}
 	g.setTimerTo(int64(now + recoveryRound))
 }
 
