Many unfinished requests stay within a small memory limit, and are not copied again and again

Cause: each client was granted 32 KB whatever the limit, and buffers counted by their bytes while the library allocates powers of two. Each piece of an unfinished message also had all of it looked at again, which copies a ring buffer that wraps: one steady client had 32 to 43 requests served in 2.5 s beside the slow writers.

Change: what is granted is at most a client's part of what all share, buffers count as what they take, and of an unfinished message only its head is looked at.

Evidence: TestMemoryOfManyUnfinishedRequests fails before (38 MB, limit 32) and passes after (22, 25 MB; with the second change 22, 16, 15 MB and 156, 209, 192 requests served).

--- a/gateway/clientinput.go
+++ b/gateway/clientinput.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/bits"
 	"slices"
 
 	"magpieglade/internal/pgwire"
@@ -42,10 +43,26 @@
 func (cs *clients) allowedInput(c *client) int {
 	memory := cs.g.config.Limits.MemoryMB << 20
 	others := cs.bufferedBytes - c.bufferedBytes
-	share := max(memory/bufferMemoryDivisor-others, guaranteedBufferSize)
+	share := max(memory/bufferMemoryDivisor-others, cs.guaranteedInput())
 	return min(share, max(memory/clientInputMemoryDivisor, maxMessageSize)) - c.conn.OutboundBuffered()
 }
 
+// guaranteedInput returns how many bytes of input each client may hold even when all buffers are full: no more than as many
+// clients as there are descriptors for can hold together.
+func (cs *clients) guaranteedInput() int {
+	memory := cs.g.config.Limits.MemoryMB << 20
+	total := cs.g.budget.total
+	return min(guaranteedBufferSize, memory/bufferMemoryDivisor/max(1, total-total/memberDescriptorDivisor))
+}
+
+// bufferCapacity returns the memory of a buffer that holds so many bytes: the network library allocates powers of two.
+func bufferCapacity(size int) int {
+	if size == 0 {
+		return 0
+	}
+	return 1 << bits.Len(uint(size-1))
+}
+
 // limitInput counts a client's buffers and drops the input that is beyond its share of the memory. It returns false if the
 // connection ends by it.
 func (cs *clients) limitInput(ref slots.Ref, c *client) bool {
@@ -59,7 +76,7 @@
 		}
 		cs.dropBeyond(c, allowed)
 	}
-	buffered := c.unprocessed() + c.conn.OutboundBuffered()
+	buffered := bufferCapacity(c.unprocessed()) + bufferCapacity(c.conn.OutboundBuffered())
 	if c.dropped != nil {
 		buffered += len(c.dropped.kinds)
 	}
--- a/gateway/clientmessages.go
+++ b/gateway/clientmessages.go
@@ -55,8 +55,10 @@
 		}
 		buf, err := c.peek(min(waiting, pgwire.HeaderSize))
 		if err == nil && c.admitted && waiting > pgwire.HeaderSize {
-			// Peek at no more than one message: a ring buffer that wraps is copied.
-			buf, err = c.peek(min(waiting, pgwire.MessageSize(buf)))
+			// Peek at no more than one message, and only once it is whole: a ring buffer that wraps is copied.
+			if size := pgwire.MessageSize(buf); size <= waiting {
+				buf, err = c.peek(size)
+			}
 		} else if err == nil && !c.admitted {
 			buf, err = c.peek(min(waiting, pgwire.MaxStartupPacketSize))
 		}
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -21,7 +21,7 @@
 	maxMessageSize           = 192 << 10 // bytes: a value of 64 KiB in hexadecimal and its statement
 	clientInputMemoryDivisor = 16        // one client's unprocessed input may fill 1/16 of the memory limit
 	bufferMemoryDivisor      = 4         // all clients' buffers may fill 1/4 of the memory limit
-	guaranteedBufferSize     = 32 << 10  // bytes that a client may hold even when those buffers are full
+	guaranteedBufferSize     = 32 << 10  // bytes that a client may hold even when those buffers are full, if there is room for all clients
 	maxDiscardedBytes        = 256 << 10 // bytes read from a client while it is being closed
 	maxDroppedMessages       = 4096      // messages dropped for lack of memory that one client may be owed responses to
 	maxConsecutiveErrors     = 8         // invalid statements in a row, after which a client is disconnected
