A once-only write whose client left does not run again when its id comes again

Cause: the txn was forgotten once its client had left and its submission had been given up, so the same id was a new txn, and was sent to the server again.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,6 +67,7 @@
 	clients         clients
 	txns            slots.Table[txn]
 	byID            map[uint64]slots.Ref
+	abandoned       abandonedWrites
 	members         members
 	discovery       discoveryClient
 	scratch         []byte
--- a/gateway/txns.go
+++ b/gateway/txns.go
@@ -34,6 +34,7 @@
 	fleetLimitBytes int64          // size that it counts with against them
 	failed          bool           // its response is an error
 	ending          txnOutcome     // how it ended, for statistics
+	mayHaveRun      bool           // one of its submissions may have had an effect
 	arrived         decide.Nanos
 	arrivedAtSocket decide.Nanos // when its client's time began, before it waited behind other queries
 
@@ -126,6 +127,9 @@
 	case reason != routes.Allowed:
 		g.inputs = append(g.inputs, input{kind: inReject, ref: c.txn, elapsed: decide.Nanos(retryAfter)})
 		return ""
+	case g.abandoned.contains(comment.ID, t.arrived):
+		g.inputs = append(g.inputs, input{kind: inRollBack, ref: c.txn})
+		return ""
 	case !mayRepeat: // its group would no longer recognize it as a repetition
 		g.inputs = append(g.inputs, input{kind: inRollBack, ref: c.txn})
 		return ""
@@ -201,6 +205,9 @@
 	if t.answered && t.inFlight == 0 && !t.awaitingLedger {
 		delete(g.byID, t.id)
 		g.generations.end(t)
+		if t.ending == outcomeAbandoned && t.mayHaveRun && g.names.Classes[t.class].Effect == "once" {
+			g.abandoned.add(t.id, g.clock.now())
+		}
 		g.txns.Remove(ref)
 	}
 }
@@ -360,6 +367,7 @@
 		return
 	}
 	t.inFlight--
+	t.mayHaveRun = t.mayHaveRun || mayHaveRun(in.result)
 	g.outcomes.attempts[in.result]++
 	isPlaced := in.position > 0 && g.module.CanPlacePosition(t.comment.Group, in.position)
 	g.module.SubmissionEnded(t.id, in.attempt, in.server, in.result, in.elapsed, in.role, in.position,
