Tests of late queries: their connections stay open until the end of the test

TestQueryIsDatedByItsArrivalAfterAStall failed in both whole runs of the package since it came in (no query was sent), and passed alone. By trace its attempts ended as not sent, five times: the garbage collector had closed the stand-in's connection, which nothing referred to any more, and nobody accepted the next one.

--- a/gateway/arrivals_test.go
+++ b/gateway/arrivals_test.go
@@ -52,6 +52,7 @@
 			c := connectClient(t, g)
 			c.sendTxn("any", 9000)
 			up := m.acceptConnection(t)
+			t.Cleanup(func() { _ = up.Close() }) // not before, by the garbage collector
 			up.readQuery()
 			up.sendRow("m", "read-only")
 			c.readResponse()
@@ -139,7 +140,9 @@
 	_, _ = c.Write(pgwire.AppendQuery(pgwire.AppendStartup(nil, "portal", "crm"), text))
 	<-time.After(failing)
 	close(network.release)
-	m.acceptConnection(t).readQuery()
+	up := m.acceptConnection(t)
+	t.Cleanup(func() { _ = up.Close() })
+	up.readQuery()
 	if over := g.jobDeadline(t) - (sentAt + wait); over > deadlineSlack || over < -deadlineSlack {
 		t.Errorf("the member is told %d ms more than is left to the client", over/decide.Millisecond)
 	}
