Soak: an answer that is written after the gateway closed its connection is not received

The soak's server took it for answered, since a write into a closed connection succeeds.

Change: the server looks whether its connection has been closed before it counts a commit as answered.

--- a/gateway/soak/servers_test.go
+++ b/gateway/soak/servers_test.go
@@ -14,6 +14,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // attempt is a transaction's statement as a server received it.
@@ -291,10 +293,11 @@
 		_, _ = io.WriteString(c, row(value)[:len(row(value))-1])
 		return false
 	}
+	givenUp := hasBeenClosed(c)
 	_, err := io.WriteString(c, row(value)+message('C', "SELECT 1\x00")+s.status(position, readOnly, a.isWrite()))
 	if err == nil {
 		commit := int64(0)
-		if a.isWrite() {
+		if a.isWrite() && !givenUp { // the gateway can't receive what is written after it has closed the connection
 			commit = position
 		}
 		s.group.recordAnswer(s.name, readOnly, a.session, commit)
@@ -306,6 +309,20 @@
 	return true
 }
 
+// hasBeenClosed reports whether the other side has closed a connection, or ended its sending on it.
+func hasBeenClosed(c net.Conn) (closed bool) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	_ = raw.Control(func(fd uintptr) {
+		descriptors := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, pollErr := unix.Poll(descriptors, 0)
+		closed = pollErr == nil && n > 0
+	})
+	return closed
+}
+
 func readMessage(r *bufio.Reader) (kind byte, body []byte, err error) {
 	var head [5]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
