--- a/decide/decide.go
+++ b/decide/decide.go
@@ -949,7 +949,7 @@
 	if p != nil && !p.suspect {
 		isPrimary := write || g.checksReads() || p.isProvenPrimary()
 		if !isPrimary && p.roleUnreadAt > 0 {
-			g.markUnproven(t.group, nil, g.now+1) // a probe proves the role
+			g.markUnproven(t.group, nil, t.group.groupTime(g.now)+1) // a probe proves the role
 		}
 		if isPrimary && g.hasCapacity(p, t) && !t.sentTo(p, g.now-queueCheckInterval) {
 			return p
@@ -957,7 +957,7 @@
 		return nil
 	}
 	grp, pause := t.group, t.budget/primarySearchDivisor
-	g.markUnproven(grp, p, g.now+1) // a probe finds the role sooner than trying members in turn
+	g.markUnproven(grp, p, grp.groupTime(g.now)+1) // a probe finds the role sooner than trying members in turn
 	if s := grp.primarySearch; s != nil && s.inFlight > 0 && g.now-s.submissions[len(s.submissions)-1].sentAt > pause {
 		grp.primarySearch = nil // a refusal is immediate: this one is running, or its member hangs
 	}
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -20,6 +20,7 @@
 	recoveryRound     = 1 * decide.Millisecond  // for the loop to read what is pending
 	quietRounds       = 2                       // rounds in a row without events that end a recovery
 	maxRecoveryTime   = 20 * decide.Millisecond // of a recovery during which events keep coming
+	maxRestarts       = 3                       // of a recovery by further stalls: a starved process has to go on
 	// Age of a query from which its client may have left unnoticed, so that the connection is looked at before it is sent.
 	uncheckedQueryAge = 20 * decide.Millisecond
 )
@@ -31,13 +32,22 @@
 	stalledFrom decide.Nanos // what the loop finds unread arrived no earlier
 	events      int          // connections opened, read and closed since the last round
 	quietRounds int          // rounds in a row without any
+	restarts    int          // by stalls during the recovery
 	heldQueries []slots.Ref  // member connections that became ready for their query
 }
 
-// checkForStall begins a recovery if the earliest deadline has been missed by more than stallThreshold.
+// checkForStall begins a recovery if the earliest deadline has been missed by more than stallThreshold. During a recovery that
+// is its next round: what has arrived since has to be read too.
 func (g *Gateway) checkForStall() {
 	now := g.clock.now()
-	if g.recovery.active || g.timerSetTo == 0 || g.inTurn || g.loop == nil || now-decide.Nanos(g.timerSetTo) <= stallThreshold {
+	if g.timerSetTo == 0 || g.inTurn || g.loop == nil || now-decide.Nanos(g.timerSetTo) <= stallThreshold {
+		return
+	}
+	if r := &g.recovery; r.active {
+		if r.restarts++; r.restarts <= maxRestarts {
+			r.startedAt, r.events, r.quietRounds = now, 0, 0
+			g.setTimerTo(int64(now + recoveryRound))
+		}
 		return
 	}
 	g.outcomes.stalls++
--- a/gateway/stall_test.go
+++ b/gateway/stall_test.go
@@ -144,6 +144,42 @@
 	}
 }
 
+// TestStallDuringARecovery guards against the same when the loop is held up once more before it has read what came during the
+// first stall: the time of the recovery was over when it went on.
+func TestStallDuringARecovery(t *testing.T) {
+	clock := newAdjustableClock()
+	d, m := newScriptedServer(t), newScriptedServer(t)
+	g, ended, stop := startTestGatewayWith(t, func(c *Config) { c.Elapsed = clock.elapsed }, d, m.listEntry("m", "active"))
+	received := m.serveRecorded("m")
+	c := connectClient(t, g)
+	if c.sendTxn("once", 9000); c.readResponse() != "served by m" {
+		t.Fatal("not served before the stall")
+	}
+	g.awaitReusable()
+	id, done := "", make(chan bool)
+	g.runOnLoop(func() { // both run before the loop reads anything
+		g.post(func() { clock.advanced.Add(int64(time.Second)) })
+		g.post(func() {
+			<-time.After(10 * time.Millisecond) // the timer of the recovery fires meanwhile
+			clock.advanced.Add(int64(time.Second))
+			id = c.sendIdentifiedTxn("once", 9000)
+			_ = c.CloseWrite()
+			awaitUnread(t, g.clients.conns.Get(g.clients.conns.Refs()[0]).conn.Fd())
+			close(done)
+		})
+	})
+	<-done
+	after := connectClient(t, g)
+	if after.sendTxn("once", 9000); after.readResponse() != "served by m" {
+		t.Error("not served after the stalls")
+	}
+	if received.contains(id) {
+		t.Error("the request of the client that left was sent")
+	}
+	stop()
+	<-ended
+}
+
 // TestListIsReadAfterAStallBeforeAnythingIsSent guards against requests that are sent to a member after a list in which it
 // drains has arrived, because the event loop was held up and the requests came first.
 func TestListIsReadAfterAStallBeforeAnythingIsSent(t *testing.T) {
