Log: a primary that another gateway told of is not logged as told by an answer

A line 'primary X, told by an answer or a report' stood for three sources: an answer, a load report, and another gateway's report. The last source has a line of its own now: 'told by another gateway'. No decision changes.

--- a/decide/freshness.go
+++ b/decide/freshness.go
@@ -234,14 +234,7 @@
 // recordAnswer applies the role and position of an answer.
 func (g *Gateway) recordAnswer(m *member, role Role, position Nanos) {
 	if role != RoleUnknown {
-		m.role, m.roleAt, m.roleUnreadAt = role, g.now, 0
-		for _, o := range m.group.members {
-			// Only one primary at a time: the newest report wins, however late the other's answers are.
-			if role == RolePrimary && o != m && o.role == RolePrimary {
-				o.role = RoleUnknown
-			}
-		}
-		g.logPrimaryChange(m.group)
+		g.recordRole(m, role, g.now, false)
 	}
 	if position > 0 {
 		m.advancePosition(position)
@@ -249,6 +242,18 @@
 	}
 }
 
+// recordRole applies the role that a member told at a given time, to this gateway or, if relayed, to another one.
+func (g *Gateway) recordRole(m *member, role Role, toldAt Nanos, relayed bool) {
+	m.role, m.roleAt, m.roleRelayed, m.roleUnreadAt = role, toldAt, relayed, 0
+	for _, o := range m.group.members {
+		// Only one primary at a time: the newest report wins, however late the other's answers are.
+		if role == RolePrimary && o != m && o.role == RolePrimary {
+			o.role = RoleUnknown
+		}
+	}
+	g.logPrimaryChange(m.group)
+}
+
 // recordReport applies a load report: its position, which holds even if it is old, and its role unless the answer that it
 // came with tells one.
 func (g *Gateway) recordReport(m *member, report []float64, answered Role) {
@@ -291,8 +296,7 @@
 		}
 	case primary && newer && (m.role != RoleReplica || position > m.group.groupTime(m.roleAt)):
 		unreadAt := m.roleUnreadAt
-		g.recordAnswer(m, RolePrimary, 0)
-		m.roleAt = 0
+		g.recordRole(m, RolePrimary, 0, false)
 		if position <= m.group.groupTime(unreadAt) {
 			m.roleUnreadAt = unreadAt
 		}
--- a/decide/state.go
+++ b/decide/state.go
@@ -72,6 +72,7 @@
 	unprovenAt, queriedAt        Nanos // when a read last skipped it for lack of proof; when it was last queried
 	role                         Role
 	roleAt                       Nanos   // when an answer last reported the role
+	roleRelayed                  bool    // another gateway reported the role, not the member itself
 	roleUnreadAt                 Nanos   // when a submission last ended whose answer may have reported another role; 0 if an answer came since
 	addedAt                      Nanos   // when a list after the first one named it
 	listedPrimary                bool    // the list names it as primary
@@ -486,6 +487,8 @@
 	switch {
 	case m == nil:
 		return "no primary known"
+	case m.role == RolePrimary && m.roleRelayed:
+		return fmt.Sprintf("primary %v, told by another gateway", m.id)
 	case m.role == RolePrimary:
 		return fmt.Sprintf("primary %v, told by an answer or a report", m.id)
 	}
@@ -677,8 +680,7 @@
 	m.advancePosition(update.Position)
 	m.lastLag, m.lagSeenAt, m.positionSeenAt = max(min(g.estimatedLag(m), g.now-toldAt), g.now-toldAt-maxReportDelay), g.now, g.now
 	if p := g.primaryOf(m.group); update.Primary && toldAt > max(m.roleAt, m.roleUnreadAt) && (p == nil || toldAt > p.roleAt) {
-		g.recordAnswer(m, RolePrimary, 0)
-		m.roleAt = toldAt
+		g.recordRole(m, RolePrimary, toldAt, true)
 	}
 }
 
