Simulation: a gateway learns that a drain is over from the list, not from the world

Cause: subsetHost.updateDivision and simGateway.updateMember read the database's present state. With the list unavailable, or under way, a gateway added a member whose drain was over in the world but not in the last list that it had; the auditor goes by that list. The gateway itself keeps the entries of its last list (gateway/discovery.go), so the fault is the simulation's alone.

Change: both ask what the last list said (simGateway.drained), which the auditor's events come from too. No check changes.

--- a/rehearse/nodes.go
+++ b/rehearse/nodes.go
@@ -196,12 +196,12 @@
 	}
 }
 
-// updateMember passes one member's current state to the module.
+// updateMember passes one member's state to the module. Whether it drains is what the last list said: another one may be under way.
 func (n *simGateway) updateMember(d *database) {
 	st := decide.Ready
 	if d.delisted {
 		st = decide.Removed
-	} else if d.drained {
+	} else if n.drained[d.index] {
 		st = decide.Draining
 	}
 	n.module.UpdateMember(serverOf(d), d.group.index, false, st, d.zone, 1, 0, decide.Nanos(d.startedAt))
--- a/rehearse/some.go
+++ b/rehearse/some.go
@@ -162,7 +162,7 @@
 	}
 	var members []subset.Member
 	for _, d := range x.gateway.w.databases {
-		if d.delisted || d.drained {
+		if d.delisted || x.gateway.drained[d.index] {
 			continue
 		}
 		p, ok := x.gateway.module.Primary(d.group.index)
