A gateway passes on a primary only at the position that the member told with its role

Cause: gateway/coordination.go, ObserveMember, reported 'primary at P' with two values from two sources. The role was primaryOf's, which the list alone may name; the position was the highest that anybody had told of the member, as a replica too. Such a pair was never true, and as P lies after the receiver's own word from the member, ReceiveUpdate took it for the later one. sendUpdates had the same fault in its position, and both passed another gateway's word on as their own, so it never expired.

Change: a member keeps the position that it told this gateway itself together with being the primary (primaryPosition); only that leaves the module (MemberState.PrimaryPosition, sendUpdates, the simulation), and not after another gateway's word, an unread answer, a denial, or a step of the group's clock back. Hosts have no role beside a position any more from which to make a pair.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -176,6 +176,7 @@
 	g.recordReport(m, report, role)
 	if role == RolePrimary && g.settings.Replication.WhenBehind != "none" {
 		m.advancePosition(s.sentAt) // a primary's position is the present
+		m.primaryPosition = max(m.primaryPosition, s.sentAt)
 	}
 	switch r {
 	case Committed:
--- a/decide/freshness.go
+++ b/decide/freshness.go
@@ -143,6 +143,15 @@
 // stands at the present.
 func (m *member) isProvenPrimary() bool { return m.role == RolePrimary && m.roleUnreadAt == 0 }
 
+// toldPrimaryPosition is the highest position of a proven primary that it told itself together with its role, 0 if there is
+// none. A role and a position from different sources say nothing about when the member was the primary.
+func (m *member) toldPrimaryPosition() Nanos {
+	if !m.isProvenPrimary() || m.roleRelayed {
+		return 0
+	}
+	return m.primaryPosition
+}
+
 // freshPrimary is the group's primary for reads, nil if a member that does not check reads may have told in an unread
 // answer that it is the primary no more. It then counts by its position, like a replica.
 func (g *Gateway) freshPrimary(grp *group) *member {
@@ -240,6 +249,9 @@
 		m.advancePosition(position)
 		m.lastLag, m.lagSeenAt, m.positionSeenAt = m.group.groupTime(g.now)-position, g.now, g.now
 	}
+	if role == RolePrimary {
+		m.primaryPosition = max(m.primaryPosition, position)
+	}
 }
 
 // recordRole applies the role that a member told at a given time, to this gateway or, if relayed, to another one.
@@ -267,6 +279,9 @@
 	if role != RoleUnknown && answered == RoleUnknown {
 		g.recordReportedRole(m, role == RolePrimary, placed)
 	}
+	if role == RolePrimary && m.role == RolePrimary {
+		m.primaryPosition = max(m.primaryPosition, placed)
+	}
 }
 
 // readReport returns the position and the role that a load report tells, 0 and RoleUnknown if it tells none.
--- a/decide/groupclock.go
+++ b/decide/groupclock.go
@@ -50,6 +50,9 @@
 			if m.position > primaryPosition+g.maxPositionLead() {
 				m.position = 0
 			}
+			if m.primaryPosition > primaryPosition+g.maxPositionLead() {
+				m.primaryPosition = 0
+			}
 		}
 	}
 	grp.clockLead = to
--- a/decide/interface.go
+++ b/decide/interface.go
@@ -131,8 +131,8 @@
 )
 
 // MemberUpdate is what one gateway sends the others about a member: a position that it was proven to have
-// reached, and whether it was primary then. Neither is ever retracted, so updates may arrive late, twice or
-// not at all.
+// reached, and whether it told that gateway, together with this very position, that it was the primary. Neither
+// is ever retracted, so updates may arrive late, twice or not at all.
 type MemberUpdate struct {
 	Server   Server
 	Position Nanos
--- /dev/null
+++ b/decide/relayed_test.go
@@ -0,0 +1,92 @@
+package decide
+
+import "fmt"
+
+// openSharing opens an instance whose members check nothing and that exchanges what it learns with other gateways.
+func openSharing(changes ...string) *trace {
+	return openUnchecked(append(changes, `"mayDuplicate"`, `"peers":true,"mayDuplicate"`)...)
+}
+
+// reportsOnProbe gives load reports a position and a role.
+var reportsOnProbe = []string{`"how":"none","fields":[]`, `"how":"probe","fields":["x0","x1"]`}
+
+// printOwnReport prints what the instance may tell other gateways of a member as the primary.
+func (t *trace) printOwnReport(m byte) {
+	s := t.g.StateOf(Server{m})
+	fmt.Println(s.Primary, s.Position/ms, s.PrimaryPosition/ms)
+}
+
+// printUpdates prints the updates that the next round sends to other gateways.
+func (t *trace) printUpdates() {
+	t.g.BeginRound(Millis(t.clock))
+	for d, ok := t.g.Next(); ok; d, ok = t.g.Next() {
+		for _, update := range d.Updates {
+			fmt.Printf("%c at %d, primary: %v\n", update.Server[0], update.Position/ms, update.Primary)
+		}
+	}
+}
+
+// A primary that the list alone names, at a position that others told of it as a replica, is not reported as the primary at that
+// position: the pair would outweigh what the member itself told another gateway before.
+func Example_reportOfPrimaryNamedByTheListAlone() {
+	newcomer := openSharing().list("a* b")
+	newcomer.g.ReceiveUpdate(MemberUpdate{Server{'a'}, Millis(9990), false})
+	newcomer.printOwnReport('a')
+	other := openSharing().list("a* b").txn(1, 3, 0).printRound().at(9000).end(1, 0, "a", NotEligible, 2, 8000).at(10000)
+	if at := newcomer.g.StateOf(Server{'a'}).PrimaryPosition; at > 0 {
+		other.g.ReceiveUpdate(MemberUpdate{Server{'a'}, at, true})
+	}
+	other.printOwnReport('a')
+	// Output:
+	// true 9990 0
+	//  10000 submit 1 to a
+	// false 8000 0
+}
+
+// What a primary told itself is reported at the position that it told with it, whatever others prove of its position later.
+func Example_reportOfPrimaryAtItsOwnPosition() {
+	t := openSharing().list("a b").txn(1, 2, 0).printRound().end(1, 0, "a", Committed, 1, 9500)
+	t.g.ReceiveUpdate(MemberUpdate{Server{'a'}, Millis(9990), false})
+	t.printOwnReport('a')
+	// Output:
+	// 10000 submit 1 to a
+	// true 9990 9500
+}
+
+// Another gateway's word is not passed on as this gateway's own, so it does not go round the fleet for ever.
+func Example_reportOfPrimaryToldByAnotherGateway() {
+	t := openSharing().list("a b")
+	t.g.ReceiveUpdate(MemberUpdate{Server{'b'}, Millis(9990), true})
+	t.printOwnReport('b')
+	// Output:
+	// true 9990 0
+}
+
+// A role from an answer and a position from a report that says otherwise make no update of a primary at that position.
+func Example_updateOfRoleAndPositionFromTwoSources() {
+	t := openSharing(reportsOnProbe...).list("a").txn(1, 2, 0).printRound().end(1, 0, "a", Committed, 1, 0)
+	t.g.ProbeEnded(Server{'a'}, Committed, Millis(5), []float64{9.9, 2})
+	t.printUpdates()
+	t.at(10_500).txn(2, 2, 0).printRound().at(10_510).end(2, 0, "a", Committed, 1, 10_505)
+	t.printUpdates()
+	// Output:
+	// 10000 submit 1 to a
+	// a at 9900, primary: false
+	//  10500 submit 2 to a
+	// a at 10505, primary: true
+}
+
+// After a step of the group's clock back a primary is not reported at a position from before the step, which would count as
+// later than what it tells for as long as the step.
+func Example_reportOfPrimaryAfterStepBack() {
+	t := openUnchecked().list("a").txn(1, 2, 0).printRound().end(1, 0, "a", Committed, 1, 9_990)
+	t.at(10_010).g.ClockStepped(Millis(5_000))
+	t.txn(2, 2, 0).printRound().end(2, 0, "a", Committed, 1, 15_000).printOwnReport('a')
+	t.at(10_020).txn(3, 2, 0).printRound().at(10_030).end(3, 0, "a", Committed, 1, 10_025).printOwnReport('a')
+	// Output:
+	// 10000 submit 1 to a
+	//  10010 submit 2 to a
+	// true 15000 15000
+	//  10020 submit 3 to a
+	// true 10025 10025
+}
--- a/decide/told.go
+++ b/decide/told.go
@@ -11,8 +11,9 @@
 	Responses            float64 // recent
 	Latency              Nanos   // recent mean, 0 for none
 	InFlight             int
-	NeedsPosition        bool // reads skipped it for lack of proof, and its position has not been learned since
-	Position             Nanos
+	NeedsPosition        bool  // reads skipped it for lack of proof, and its position has not been learned since
+	Position             Nanos // highest that is proven, whoever told it
+	PrimaryPosition      Nanos // highest that a proven primary told this gateway itself, together with its role; 0 for none
 }
 
 // StateOf returns the state of a member.
@@ -24,7 +25,7 @@
 	s = MemberState{Known: true, Suspect: m.suspect, Cold: g.isCold(m), Primary: g.primaryOf(m.group) == m,
 		Responses: m.latency.count.value(g.now, latencyDecay), InFlight: m.inFlight,
 		NeedsPosition: m.unprovenAt > 0 && m.positionSeenAt < m.unprovenAt && g.now-m.unprovenAt < latencyDecay,
-		Position:      m.position}
+		Position:      m.position, PrimaryPosition: m.toldPrimaryPosition()}
 	if s.Responses > 0 {
 		s.Latency = Nanos(m.latency.valueWithPrior(g.now, latencyDecay, 0, 0))
 	}
--- a/fleet/coordination.go
+++ b/fleet/coordination.go
@@ -62,7 +62,7 @@
 	Suspect         bool
 	Latency         int64 // microseconds, 0 for none
 	InFlight        int64
-	PrimaryPosition int64 // position in Unix nanoseconds if the member is its group's primary, else 0
+	PrimaryPosition int64 // position in Unix nanoseconds that the member told this gateway together with being the primary, else 0
 }
 
 // Intervals in nanoseconds. Members are observed as often as a person perceives as immediate, which is enough for signals
--- a/gateway/coordination.go
+++ b/gateway/coordination.go
@@ -101,8 +101,8 @@
 	}
 	s := x.g.module.StateOf(h.server)
 	observation = fleet.MemberObservation{Suspect: s.Suspect, Latency: int64(s.Latency) / 1000, InFlight: int64(s.InFlight)}
-	if s.Primary && s.Position > 0 {
-		observation.PrimaryPosition = int64(x.g.sessionPosition(s.Position))
+	if s.PrimaryPosition > 0 {
+		observation.PrimaryPosition = int64(x.g.sessionPosition(s.PrimaryPosition))
 	}
 	return observation, s.Known
 }
--- a/rehearse/some.go
+++ b/rehearse/some.go
@@ -237,8 +237,8 @@
 			continue
 		}
 		x.signals.Clock(w.Now)
-		if s.Primary && s.Position > 0 {
-			x.signals.Observe(signals.Primary, w.keyOf(d), int64(s.Position))
+		if s.PrimaryPosition > 0 {
+			x.signals.Observe(signals.Primary, w.keyOf(d), int64(s.PrimaryPosition))
 		}
 		if s.Suspect {
 			x.signals.Observe(signals.Health, w.keyOf(d), signals.Unhealthy)
