A member's load report that it is a replica is dated, so older words do not outweigh it

Cause: recordReportedRole (decide/freshness.go) set the role that a report denied without a time, so roleAt stayed that of an earlier answer. ReceiveUpdate, answeredRole and recordReportedRole compare with roleAt: another gateway's word, an answer that was under way, and a report that had overtaken or been overtaken, each from between that answer and the denial, counted as later than the denial.

Change: deniedAt is when an answer or a report last told that the member is a replica, by arrival. Another gateway's word and a late answer have to be later; a report, too, while one that is older may still be under way (maxReportDelay). A denial by an answer binds reports as before.

Not seen on sockets: found by reading.

--- a/decide/freshness.go
+++ b/decide/freshness.go
@@ -225,7 +225,7 @@
 	switch {
 	case role == RoleUnknown && r == NotEligible:
 		return RoleReplica
-	case role == RolePrimary && m.role == RoleReplica && s.sentAt < m.roleAt && position <= m.group.groupTime(m.roleAt):
+	case role == RolePrimary && s.sentAt < m.deniedAt && position <= m.group.groupTime(m.deniedAt):
 		return RoleUnknown
 	}
 	return role
@@ -257,6 +257,9 @@
 // recordRole applies the role that a member told at a given time, to this gateway or, if relayed, to another one.
 func (g *Gateway) recordRole(m *member, role Role, toldAt Nanos, relayed bool) {
 	m.role, m.roleAt, m.roleRelayed, m.roleUnreadAt = role, toldAt, relayed, 0
+	if role == RoleReplica {
+		m.deniedAt = toldAt
+	}
 	for _, o := range m.group.members {
 		// Only one primary at a time: the newest report wins, however late the other's answers are.
 		if role == RolePrimary && o != m && o.role == RolePrimary {
@@ -301,22 +304,24 @@
 }
 
 // recordReportedRole applies the role in a report made no earlier than its position. An answer outweighs it for a
-// while, and for good if it said that the member is a replica and the report may be older.
+// while, and for good if it said that the member is a replica and the report may be older. So does another report that
+// said so, while an older one may still be under way.
 func (g *Gateway) recordReportedRole(m *member, primary bool, position Nanos) {
 	newer := g.now-m.roleAt > answerPrecedence || m.role == RoleUnknown
+	mayPredateDenial := position <= m.group.groupTime(m.deniedAt) && g.now-m.deniedAt <= maxReportDelay
 	switch {
 	case primary && m.role == RolePrimary:
 		if position > m.group.groupTime(m.roleUnreadAt) {
 			m.roleUnreadAt = 0
 		}
-	case primary && newer && (m.role != RoleReplica || position > m.group.groupTime(m.roleAt)):
+	case primary && newer && !mayPredateDenial && (m.role != RoleReplica || position > m.group.groupTime(m.roleAt)):
 		unreadAt := m.roleUnreadAt
 		g.recordRole(m, RolePrimary, 0, false)
 		if position <= m.group.groupTime(unreadAt) {
 			m.roleUnreadAt = unreadAt
 		}
 	case !primary && (newer || position > m.group.groupTime(m.roleAt)):
-		m.role = RoleReplica
+		m.role, m.deniedAt = RoleReplica, g.now
 		g.logPrimaryChange(m.group)
 	}
 }
--- a/decide/relayed_test.go
+++ b/decide/relayed_test.go
@@ -90,3 +90,53 @@
 	//  10020 submit 3 to a
 	// true 10025 10025
 }
+
+// openWithReportedDenial opens an instance at 11.5 s that a primary's load report has just told that it is a replica; txn 2, sent
+// at 10.4 s, is still in flight to it.
+func openWithReportedDenial() *trace {
+	t := openSharing(reportsOnProbe...).list("a").txn(1, 2, 0).printRound().at(10_010).end(1, 0, "a", Committed, 1, 9_990)
+	t.at(10_400).txn(2, 2, 0).printRound()
+	t.at(11_500).g.ProbeEnded(Server{'a'}, Committed, Millis(5), []float64{10.5, 2})
+	return t
+}
+
+// Another gateway's older word does not make a member the primary again after its load report said otherwise.
+func Example_relayedPrimaryAfterReportedDenial() {
+	t := openWithReportedDenial()
+	t.g.ReceiveUpdate(MemberUpdate{Server{'a'}, Millis(11_400), true})
+	fmt.Println(t.g.StateOf(Server{'a'}).Primary)
+	t.at(11_700).g.ReceiveUpdate(MemberUpdate{Server{'a'}, Millis(11_600), true})
+	fmt.Println(t.g.StateOf(Server{'a'}).Primary)
+	// Output:
+	// 10000 submit 1 to a
+	//  10400 submit 2 to a
+	//  10400 update a at 9990
+	// false
+	// true
+}
+
+// Neither does an answer that was under way meanwhile.
+func Example_lateAnswerAfterReportedDenial() {
+	t := openWithReportedDenial().at(11_600).end(2, 0, "a", Committed, 1, 10_405)
+	fmt.Println(t.g.StateOf(Server{'a'}).Primary)
+	// Output:
+	// 10000 submit 1 to a
+	//  10400 submit 2 to a
+	//  10400 update a at 9990
+	// false
+}
+
+// Neither does a load report that overtook the one that said so, until none of those can still be under way.
+func Example_lateReportAfterReportedDenial() {
+	t := openWithReportedDenial()
+	for _, at := range []float64{11_550, 11_850} {
+		t.at(at).g.ProbeEnded(Server{'a'}, Committed, Millis(5), []float64{11.4, 1})
+		fmt.Println(t.g.StateOf(Server{'a'}).Primary)
+	}
+	// Output:
+	// 10000 submit 1 to a
+	//  10400 submit 2 to a
+	//  10400 update a at 9990
+	// false
+	// true
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -73,6 +73,7 @@
 	role                         Role
 	roleAt                       Nanos   // when an answer last reported the role
 	roleRelayed                  bool    // another gateway reported the role, not the member itself
+	deniedAt                     Nanos   // when an answer or a report last told that it is a replica
 	primaryPosition              Nanos   // highest position that the member itself told this gateway together with being the primary
 	roleUnreadAt                 Nanos   // when a submission last ended whose answer may have reported another role; 0 if an answer came since
 	addedAt                      Nanos   // when a list after the first one named it
@@ -680,7 +681,7 @@
 	m.sharedPosition = max(m.sharedPosition, update.Position)
 	m.advancePosition(update.Position)
 	m.lastLag, m.lagSeenAt, m.positionSeenAt = max(min(g.estimatedLag(m), g.now-toldAt), g.now-toldAt-maxReportDelay), g.now, g.now
-	if p := g.primaryOf(m.group); update.Primary && toldAt > max(m.roleAt, m.roleUnreadAt) && (p == nil || toldAt > p.roleAt) {
+	if p := g.primaryOf(m.group); update.Primary && toldAt > max(m.roleAt, m.deniedAt, m.roleUnreadAt) && (p == nil || toldAt > p.roleAt) {
 		g.recordRole(m, RolePrimary, toldAt, m.role != RolePrimary || m.roleRelayed)
 	}
 }
