Another gateway's word on a primary counts only if it is surely the latest

Two comparisons of ReceiveUpdate took an older word for a newer one:

- A member that is the primary by its own load report has no time of an answer (roleAt is 0), so any word on another member, however old, made that one the primary.
Now the position that the primary told with its role has to be lower too.
- A position may lie up to 5 ms ahead of its group's clock as estimated (maxPositionLead), more where the settings give a clock error.
A word from as long before the member's own denial counted as later.
Now it has to be later by more than that.

Tests: Example_relayedPrimaryOlderThanAReport and Example_relayedPrimaryWithinTheLeadOfItsPosition fail before.

--- a/decide/relayed_test.go
+++ b/decide/relayed_test.go
@@ -140,3 +140,30 @@
 	// false
 	// true
 }
+
+// Another gateway's word on one member does not outweigh the later load report of another that it is the primary.
+func Example_relayedPrimaryOlderThanAReport() {
+	t := openSharing(reportsOnProbe...).list("a b")
+	t.g.ProbeEnded(Server{'b'}, Committed, Millis(5), []float64{9.99, 1})
+	t.g.ReceiveUpdate(MemberUpdate{Server{'a'}, Millis(9900), true})
+	fmt.Println(t.g.StateOf(Server{'a'}).Primary, t.g.StateOf(Server{'b'}).Primary)
+	t.g.ReceiveUpdate(MemberUpdate{Server{'a'}, Millis(9995), true})
+	fmt.Println(t.g.StateOf(Server{'a'}).Primary, t.g.StateOf(Server{'b'}).Primary)
+	// Output:
+	// false true
+	// true false
+}
+
+// A position may lie a little ahead of its time, so another gateway's word counts as later than a member's denial only beyond
+// that.
+func Example_relayedPrimaryWithinTheLeadOfItsPosition() {
+	t := openSharing().list("a* b").txn(1, 3, 0).printRound().end(1, 0, "a", NotEligible, 2, 9000)
+	t.at(10_020).g.ReceiveUpdate(MemberUpdate{Server{'a'}, Millis(10_004), true})
+	fmt.Println(t.g.StateOf(Server{'a'}).Primary)
+	t.g.ReceiveUpdate(MemberUpdate{Server{'a'}, Millis(10_006), true})
+	fmt.Println(t.g.StateOf(Server{'a'}).Primary)
+	// Output:
+	// 10000 submit 1 to a
+	// false
+	// true
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -671,7 +671,8 @@
 }
 
 // ReceiveUpdate applies another gateway's update. It may be late: what it proves still holds, and of two
-// members that were primary the later one counts.
+// members that were primary the later one counts. What the member told this gateway counts unless the update is
+// surely later: a position may lie ahead of its time.
 func (g *Gateway) ReceiveUpdate(update MemberUpdate) {
 	m := g.members[update.Server]
 	if m == nil || update.Position > m.group.groupTime(g.now) {
@@ -681,7 +682,10 @@
 	m.sharedPosition = max(m.sharedPosition, update.Position)
 	m.advancePosition(update.Position)
 	m.lastLag, m.lagSeenAt, m.positionSeenAt = max(min(g.estimatedLag(m), g.now-toldAt), g.now-toldAt-maxReportDelay), g.now, g.now
-	if p := g.primaryOf(m.group); update.Primary && toldAt > max(m.roleAt, m.deniedAt, m.roleUnreadAt) && (p == nil || toldAt > p.roleAt) {
+	if !update.Primary || toldAt-g.maxPositionLead() <= max(m.roleAt, m.deniedAt, m.roleUnreadAt) {
+		return
+	}
+	if p := g.primaryOf(m.group); p == nil || toldAt > p.roleAt && update.Position > p.primaryPosition {
 		g.recordRole(m, RolePrimary, toldAt, m.role != RolePrimary || m.roleRelayed)
 	}
 }
