A member that left the list and comes back is still no primary if it had said so

Cause: removeMember forgets all that was known of a server, its word that it is a replica too. What is forgotten of positions errs on the safe side; this does not: a list that comes back right after it called all members gone, or that a subset or an operator took the member from, may still name a former primary ('trailing', 'static'), and by the list alone session reads and bounded ones go to it. The rule excuses such a read only until an answer has told the gateway otherwise.

Change: the denial of a removed member is kept for ten minutes and holds when a server of that address comes back, until it tells its role or the host says that another server has the address (ForgetMember). A new primary at such an address is found as any unknown one is: a write tries it first, as the list names it.

Tests: Example_denialOfMemberThatComesBack fails before; Example_addressUsedAgain passes as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -21,12 +21,13 @@
 	ms = Millisecond
 
 	// Consistency: waiting for and proving positions.
-	tokenWait               = 150 * ms  // step 4: how long a tokened read waits for a position (MAX_WAIT_MS in the original post)
-	stalenessMargin         = 0.02      // fraction of a staleness bound kept in reserve: small, as proven positions already err on the safe side
-	positionProbeInterval   = 200 * ms  // min interval between position probes of a replica: the pause of a session
-	positionProbeLagDivisor = 8         // or its lag divided by this, which it cannot make up sooner
-	maxReportDelay          = 300 * ms  // a report may be this old: only what it lacks beyond this is lag
-	answerPrecedence        = 1000 * ms // the role in an answer outweighs that in a report for this long
+	tokenWait               = 150 * ms        // step 4: how long a tokened read waits for a position (MAX_WAIT_MS in the original post)
+	stalenessMargin         = 0.02            // fraction of a staleness bound kept in reserve: small, as proven positions already err on the safe side
+	positionProbeInterval   = 200 * ms        // min interval between position probes of a replica: the pause of a session
+	positionProbeLagDivisor = 8               // or its lag divided by this, which it cannot make up sooner
+	maxReportDelay          = 300 * ms        // a report may be this old: only what it lacks beyond this is lag
+	answerPrecedence        = 1000 * ms       // the role in an answer outweighs that in a report for this long
+	denialRetention         = 600 * 1000 * ms // a server that comes back to the list after longer is taken for another one
 
 	// Member list: backoff of list requests.
 	initialBackoff      = 250 * ms  // first retry of list requests and of trials of suspects, doubled each time
--- a/decide/relayed_test.go
+++ b/decide/relayed_test.go
@@ -167,3 +167,18 @@
 	// false
 	// true
 }
+
+// A member that has told that it is a replica is not the primary by the list's word alone because it was gone for a while.
+func Example_denialOfMemberThatComesBack() {
+	t := openUnchecked().list("a* b").txn(1, 3, 0).printRound().end(1, 0, "a", NotEligible, 2, 9000)
+	t.at(10_010).list("b").at(12_000).list("a* b")
+	fmt.Println(t.g.StateOf(Server{'a'}).Primary)
+	t.at(12_010).list("b")
+	t.g.ForgetMember(Server{'a'}) // another server has its address
+	t.list("a* b")
+	fmt.Println(t.g.StateOf(Server{'a'}).Primary)
+	// Output:
+	// 10000 submit 1 to a
+	// false
+	// true
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -227,6 +227,7 @@
 	errorRate          decayingMean // fraction of errors among all answers
 	primaryLateness    decayingMean // lateness of the answers of primaries
 	listedMembers      map[Server]bool
+	denials            map[Server]Nanos       // of removed members that last told that they are replicas: when they did
 	unserved           map[sessionClass]Nanos // arrival of the first attempt of a session's last txn, if that was not served
 	logLines           []string
 	stage              int
@@ -254,8 +255,8 @@
 	}
 	g := &Gateway{settings: s, rng: newPCG(seed), baseLateness: initialBaseLateness, subscribeBackoff: s.firstSubscribeBackoff(),
 		members: map[Server]*member{}, txns: map[uint64]*txn{}, listedMembers: map[Server]bool{},
-		unserved: map[sessionClass]Nanos{},
-		stats:    make([]classStats, len(s.Classes))}
+		unserved: map[sessionClass]Nanos{}, denials: map[Server]Nanos{},
+		stats: make([]classStats, len(s.Classes))}
 	for i := range 3 * len(s.Classes) {
 		g.queueOrder = append(g.queueOrder, i)
 	}
@@ -351,11 +352,7 @@
 		known = false
 	}
 	if !known {
-		m = &member{id: server}
-		if g.now > g.startedAt {
-			m.addedAt = g.now
-		}
-		g.members[server] = m
+		m = g.newMember(server)
 	}
 	if m.group == nil || m.group.id != groupID {
 		if m.group != nil {
@@ -368,18 +365,37 @@
 	return m, known
 }
 
+// newMember creates a server's entry. If the server was removed a while ago and had told that it is a replica, it still
+// counts as one: a list that names it as the primary may be older than what it told.
+func (g *Gateway) newMember(server Server) *member {
+	m := &member{id: server}
+	if g.now > g.startedAt {
+		m.addedAt = g.now
+	}
+	if at, ok := g.denials[server]; ok {
+		m.role, m.roleAt, m.deniedAt = RoleReplica, at, at
+		delete(g.denials, server)
+	}
+	g.members[server] = m
+	return m
+}
+
 // ForgetMember deletes a member whose address another server has now: nothing that was known of it holds for that one.
 func (g *Gateway) ForgetMember(server Server) {
 	if m := g.members[server]; m != nil {
 		g.removeMember(m)
 	}
+	delete(g.denials, server)
 }
 
-// removeMember deletes a removed member: a later server with its address is a different one. Submissions in
-// flight to the old entry still end there.
+// removeMember deletes a removed member: a later server with its address may be a different one, so nothing that was proven
+// of it holds, but its denial does. Submissions in flight to the old entry still end there.
 func (g *Gateway) removeMember(m *member) {
 	isMember := func(x *member) bool { return x == m }
 	delete(g.members, m.id)
+	if m.role == RoleReplica {
+		g.denials[m.id] = m.deniedAt
+	}
 	m.group.members = slices.DeleteFunc(m.group.members, isMember)
 	g.needingPosition = slices.DeleteFunc(g.needingPosition, isMember)
 	g.pendingUpdates = slices.DeleteFunc(g.pendingUpdates, isMember)
@@ -591,7 +607,8 @@
 	return d.value(now, decay) / float64(decay) / observedFraction
 }
 
-// expireState deletes writes that every replica has reached, and sessions whose client's limit is over.
+// expireState deletes writes that every replica has reached, denials of servers that are gone for long, and sessions whose
+// client's limit is over.
 func (g *Gateway) expireState(interval Nanos) {
 	if g.now-g.lastExpiryAt <= interval {
 		return
@@ -600,6 +617,7 @@
 	for _, grp := range g.groups {
 		grp.forgetWrites()
 	}
+	maps.DeleteFunc(g.denials, func(_ Server, at Nanos) bool { return g.now-at > denialRetention })
 	maps.DeleteFunc(g.unserved, func(k sessionClass, at Nanos) bool {
 		return g.now-at > g.settings.Classes[k.class].HardLimit
 	})
