--- a/decide/relayed_test.go
+++ b/decide/relayed_test.go
@@ -182,3 +182,18 @@
 	// false
 	// true
 }
+
+// How long ago it told so does not matter, only for how long it was gone.
+func Example_oldDenialOfMemberThatComesBack() {
+	t := openUnchecked().list("a* b").txn(1, 3, 0).printRound().end(1, 0, "a", NotEligible, 2, 9000)
+	for _, gone := range []Nanos{denialRetention - Millis(1000), denialRetention + Millis(1000)} {
+		t.at(t.clock + 2*float64(denialRetention/ms)).list("b")
+		t.at(t.clock + float64(gone/ms)).printRound().list("a* b")
+		fmt.Println(t.g.StateOf(Server{'a'}).Primary)
+	}
+	// Output:
+	// 10000 submit 1 to a
+	// 1809000 reject 1
+	// false
+	// true
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -100,6 +100,9 @@
 	nextTrialAt, trialInterval   Nanos
 }
 
+// denial is when a member told that it is a replica, and when it was removed.
+type denial struct{ toldAt, removedAt Nanos }
+
 // group is a primary, its replicas and the txns queued for them.
 type group struct {
 	id            int
@@ -227,7 +230,7 @@
 	errorRate          decayingMean // fraction of errors among all answers
 	primaryLateness    decayingMean // lateness of the answers of primaries
 	listedMembers      map[Server]bool
-	denials            map[Server]Nanos       // of removed members that last told that they are replicas: when they did
+	denials            map[Server]denial      // of removed members that last told that they are replicas
 	unserved           map[sessionClass]Nanos // arrival of the first attempt of a session's last txn, if that was not served
 	logLines           []string
 	stage              int
@@ -255,7 +258,7 @@
 	}
 	g := &Gateway{settings: s, rng: newPCG(seed), baseLateness: initialBaseLateness, subscribeBackoff: s.firstSubscribeBackoff(),
 		members: map[Server]*member{}, txns: map[uint64]*txn{}, listedMembers: map[Server]bool{},
-		unserved: map[sessionClass]Nanos{}, denials: map[Server]Nanos{},
+		unserved: map[sessionClass]Nanos{}, denials: map[Server]denial{},
 		stats: make([]classStats, len(s.Classes))}
 	for i := range 3 * len(s.Classes) {
 		g.queueOrder = append(g.queueOrder, i)
@@ -372,8 +375,8 @@
 	if g.now > g.startedAt {
 		m.addedAt = g.now
 	}
-	if at, ok := g.denials[server]; ok {
-		m.role, m.roleAt, m.deniedAt = RoleReplica, at, at
+	if d, ok := g.denials[server]; ok {
+		m.role, m.roleAt, m.deniedAt = RoleReplica, d.toldAt, d.toldAt
 		delete(g.denials, server)
 	}
 	g.members[server] = m
@@ -394,7 +397,7 @@
 	isMember := func(x *member) bool { return x == m }
 	delete(g.members, m.id)
 	if m.role == RoleReplica {
-		g.denials[m.id] = m.deniedAt
+		g.denials[m.id] = denial{m.deniedAt, g.now}
 	}
 	m.group.members = slices.DeleteFunc(m.group.members, isMember)
 	g.needingPosition = slices.DeleteFunc(g.needingPosition, isMember)
@@ -617,7 +620,7 @@
 	for _, grp := range g.groups {
 		grp.forgetWrites()
 	}
-	maps.DeleteFunc(g.denials, func(_ Server, at Nanos) bool { return g.now-at > denialRetention })
+	maps.DeleteFunc(g.denials, func(_ Server, d denial) bool { return g.now-d.removedAt > denialRetention })
 	maps.DeleteFunc(g.unserved, func(k sessionClass, at Nanos) bool {
 		return g.now-at > g.settings.Classes[k.class].HardLimit
 	})
