Subsets keep the primary that was reported at the highest position, not the one reported last

Cause: which member another gateway reported as the primary, so that all gateways connect to it, was the last report to arrive (gateway/coordination.go, and the same again in rehearse/some.go). Reports of several gateways come in any order and are sent again every 3.3 s, so a former primary's could take the place of its successor's. No rule breaks by it: a gateway may lack the primary for a while.

Change: signals.Primaries, in place of both maps, keeps the report with the highest position. A lower one counts once none that is older can be under way (ReportTimeToLive), as the clock of positions may be stepped back.

--- a/gateway/coordination.go
+++ b/gateway/coordination.go
@@ -22,11 +22,11 @@
 	probeResults  map[uint64]decide.Result // of each member's latest probe, by this gateway or another
 	listResult    decide.Result            // of the latest call to the list service, by this gateway or another
 	deferredCalls []callKind               // calls to the list service that wait for this gateway's turn
-	primaries     map[int]uint64           // key of each group's primary, as last reported by another gateway
+	primaries     signals.Primaries        // as other gateways reported
 }
 
 func newCoordinator(g *Gateway) (x *coordinator, err error) {
-	x = &coordinator{g: g, memberNames: map[uint64]string{}, probeResults: map[uint64]decide.Result{}, primaries: map[int]uint64{}}
+	x = &coordinator{g: g, memberNames: map[uint64]string{}, probeResults: map[uint64]decide.Result{}}
 	x.coordination, err = fleet.NewCoordination(g.agreement.fleet, g.config.Coordination, x, g.seed)
 	return x, err
 }
@@ -65,7 +65,7 @@
 		if x.g.generations.memberHealth(&h.entry) != "active" {
 			continue
 		}
-		primary := h.entry.Mode == "read-write" || x.primaries[h.entry.Block] == h.key
+		primary := h.entry.Mode == "read-write" || x.primaries.Is(h.entry.Block, h.key)
 		if s, ok := x.g.module.Primary(h.entry.Block); ok && s == h.server {
 			primary = true
 		}
@@ -137,8 +137,7 @@
 		in := input{kind: inMemberUpdate, server: h.server, position: x.g.clockTime(session.Position(item.Value))}
 		if item.Kind == signals.Primary && x.g.config.ClockError == 0 {
 			in.role = decide.RolePrimary
-			if x.primaries[h.entry.Block] != h.key {
-				x.primaries[h.entry.Block] = h.key
+			if x.primaries.Receive(h.entry.Block, h.key, item.Value, x.Now()) {
 				x.updateMembers()
 			}
 		}
--- a/gateway/relayed_test.go
+++ b/gateway/relayed_test.go
@@ -16,7 +16,7 @@
 	}
 	g := &Gateway{clock: newClock(nil), module: module}
 	g.discovery.list.hosts = map[string]host{}
-	x = &coordinator{g: g, memberNames: map[uint64]string{}, primaries: map[int]uint64{}}
+	x = &coordinator{g: g, memberNames: map[uint64]string{}}
 	module.BeginRound(g.clock.now())
 	for i, name := range []string{"p", "r"} {
 		h := host{server: decide.Server{byte(i + 1)}, entry: httpwire.Host{Host: name}, key: uint64(i + 1)}
--- a/rehearse/some.go
+++ b/rehearse/some.go
@@ -11,10 +11,10 @@
 // subsetHost hosts the subset and signals modules of a gateway: they select the members that its decision module knows, and
 // exchange observations of them with other gateways.
 type subsetHost struct {
-	gateway *simGateway
-	module  *subset.Subset   // nil for all members
-	signals *signals.Signals // nil where gateways exchange no signals
-	primary map[int]int      // by group, 1 + index of the primary that another gateway last reported
+	gateway   *simGateway
+	module    *subset.Subset    // nil for all members
+	signals   *signals.Signals  // nil where gateways exchange no signals
+	primaries signals.Primaries // as other gateways reported
 }
 
 // observeInterval is the time between checks for suspect members and missing positions.
@@ -32,7 +32,7 @@
 	if s.SubsetSize == 0 && !s.Signals {
 		return nil, nil
 	}
-	x := &subsetHost{gateway: n, primary: map[int]int{}}
+	x := &subsetHost{gateway: n}
 	var err error
 	if s.SubsetSize > 0 {
 		if x.module, err = subset.New(s.subsetConfig(), n.w.gatewayOf(n.index), s.Seed); err != nil {
@@ -114,8 +114,7 @@
 		}
 		switch i.Kind {
 		case signals.Primary:
-			if x.primary[d.group.index] != d.index+1 && x.module != nil {
-				x.primary[d.group.index] = d.index + 1
+			if x.primaries.Receive(d.group.index, i.Member, i.Value, x.gateway.w.Now) && x.module != nil {
 				x.updateDivision()
 			}
 			x.gateway.step(func() {
@@ -166,7 +165,7 @@
 			continue
 		}
 		p, ok := x.gateway.module.Primary(d.group.index)
-		members = append(members, subset.Member{Key: x.gateway.w.keyOf(d), Group: d.group.index, Zone: x.gateway.w.scenario.Zones[d.zone], Weight: 1, Primary: ok && p == serverOf(d) || x.primary[d.group.index] == d.index+1})
+		members = append(members, subset.Member{Key: x.gateway.w.keyOf(d), Group: d.group.index, Zone: x.gateway.w.scenario.Zones[d.zone], Weight: 1, Primary: ok && p == serverOf(d) || x.primaries.Is(d.group.index, x.gateway.w.keyOf(d))})
 	}
 	x.module.Clock(x.gateway.w.Now)
 	x.module.SetDivision(x.gateway.w.divisionFor(members).For(x.gateway.w.gatewayOf(x.gateway.index).ID))
