Positions that others tell count for nothing for 10 s after a step of the group's clock back

Cause: a step back of a group's clock has its members' positions from before it forgotten (lowerClockLead). Another gateway that has not noticed the step may still pass one on, for as long as reports live (10 s). It was refused only while it lay ahead of the clock; once that had come again it counted as reached, though it says nothing of what was committed since the step.

Change: for maxUpdateAge, 10 s, after a position has shown the step, what other gateways tell of the group's members is not used. Without a step no decision changes.

Tests: Example_relayedPositionFromBeforeAStepBack fails before (15010 at once).

--- a/decide/groupclock.go
+++ b/decide/groupclock.go
@@ -7,6 +7,7 @@
 const (
 	maxPositionLead = 5 * ms                // of a position before the group's clock as estimated: commits are rounded up
 	maxClockLead    = 24 * 3600 * 1000 * ms // a position further ahead is malformed
+	maxUpdateAge    = 10 * 1000 * ms        // of another gateway's update when it arrives
 )
 
 // groupTime is what the clock of a group's servers showed at a time of this gateway's clock, as estimated.
@@ -45,6 +46,7 @@
 // have reached beyond that position is from before the step and proves nothing of later commits.
 func (g *Gateway) lowerClockLead(grp *group, to, primaryPosition Nanos) {
 	if grp.clockLead-to > g.maxPositionLead() {
+		grp.steppedBackAt = g.now
 		g.log("group %d: its clock is %d ms ahead", grp.id, to/ms)
 		for _, m := range grp.members {
 			if m.position > primaryPosition+g.maxPositionLead() {
@@ -58,6 +60,11 @@
 	grp.clockLead = to
 }
 
+// recentlySteppedBack reports whether another gateway's update may be from before a step of the group's clock back.
+func (grp *group) recentlySteppedBack(now Nanos) bool {
+	return grp.steppedBackAt > 0 && now-grp.steppedBackAt < maxUpdateAge
+}
+
 // ClockStepped records that this machine's wall clock, which servers are taken to share, was stepped forward. A group whose
 // clock was not stepped shows it by the next position of its primary.
 func (g *Gateway) ClockStepped(by Nanos) {
--- a/decide/relayed_test.go
+++ b/decide/relayed_test.go
@@ -197,3 +197,22 @@
 	// false
 	// true
 }
+
+// A position that another gateway learned before the group's clock was stepped back proves nothing of what was committed since,
+// however far that clock has come again.
+func Example_relayedPositionFromBeforeAStepBack() {
+	t := openSharing(reportsOnProbe...).list("a* b")
+	t.g.ClockStepped(Millis(5_000))
+	t.txn(1, 3, 0).printRound().at(10_010).end(1, 0, "a", Committed, 1, 15_010) // ahead by 5 s
+	t.txn(2, 3, 0).printRound().at(10_020).end(2, 0, "a", Committed, 1, 14_720) // stepped back by 0.3 s
+	for _, at := range []float64{10_330, 20_030} {
+		t.at(at).g.ReceiveUpdate(MemberUpdate{Server{'b'}, Millis(15_010), false})
+		fmt.Println(t.g.StateOf(Server{'b'}).Position / ms)
+	}
+	// Output:
+	// 10000 submit 1 to a
+	//  10010 submit 2 to a
+	//  10010 update a at 15009
+	// 0
+	// 15010
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -114,6 +114,7 @@
 	answeredAt    Nanos
 	writes        map[uint64]*sessionWrites // by session, if they are to be remembered here
 	forgotten     Nanos                     // highest position of a write that was deleted from writes
+	steppedBackAt Nanos                     // when a position last showed that the clock of its servers was stepped back, 0 for never
 	clockLead     Nanos                     // how far the clock of its servers is ahead of this gateway's, as estimated
 }
 
@@ -696,7 +697,7 @@
 // surely later: a position may lie ahead of its time.
 func (g *Gateway) ReceiveUpdate(update MemberUpdate) {
 	m := g.members[update.Server]
-	if m == nil || update.Position > m.group.groupTime(g.now) {
+	if m == nil || update.Position > m.group.groupTime(g.now) || m.group.recentlySteppedBack(g.now) {
 		return
 	}
 	toldAt := update.Position - m.group.clockLead // if it is a primary's
