Clients that send many checks are answered, not disconnected

Cause: the limit stood in for what made floods costly, a system call for each answer and all that was read in one turn.

Change: all such messages that one read has brought are answered with one write, and reads are of 16 KB, not 64, so that others are read sooner; nobody is ended or made to wait for being quick. While a client has not read its answers its checks are counted and taken out of the buffer. More than eight requests for encryption end a connection, as unsound input. Messages dropped for lack of memory count once if they execute nothing and are equal; queries count one by one as before.

--- a/gateway/clientinput.go
+++ b/gateway/clientinput.go
@@ -15,9 +15,9 @@
 
 // droppedInput is what a client sent beyond its share of the memory. While a client has one, all that arrives is dropped.
 type droppedInput struct {
-	kept    []byte         // whole messages from before it, which are processed first
-	kinds   []byte         // kinds of the dropped messages that are not answered yet, in the order of their arrival
-	scanner pgwire.Scanner // follows the message that is being dropped
+	kept       []byte         // whole messages from before it, which are processed first
+	unanswered []messageRun   // the dropped messages that are not answered yet, in the order of their arrival
+	scanner    pgwire.Scanner // follows the message that is being dropped
 }
 
 // unprocessed returns how many bytes of input are to be processed.
@@ -78,8 +78,9 @@
 	}
 	buffered := bufferCapacity(c.unprocessed()) + bufferCapacity(c.conn.OutboundBuffered())
 	if c.dropped != nil {
-		buffered += len(c.dropped.kinds)
+		buffered += cap(c.dropped.unanswered) * messageRunSize
 	}
+	buffered += cap(c.setAside) * messageRunSize
 	cs.bufferedBytes += buffered - c.bufferedBytes
 	c.bufferedBytes = buffered
 	return true
@@ -129,11 +130,13 @@
 	}
 	d := c.dropped
 	if c.fatalError == nil {
-		d.kinds, err = d.scanner.Scan(d.kinds, arrived, maxMessageSize)
+		var kinds []byte
+		kinds, err = d.scanner.Scan(cs.g.scratch[:0], arrived, maxMessageSize)
+		d.unanswered = appendRuns(d.unanswered, kinds)
 		switch {
 		case err != nil:
 			c.fatalError = &fatalError{"08P01", "malformed message"}
-		case len(d.kinds) > maxDroppedMessages:
+		case len(d.unanswered) > maxDroppedMessages:
 			c.fatalError = &fatalError{"08P01", "too much sent ahead"}
 		}
 	}
@@ -144,16 +147,29 @@
 // false if there is nothing more to process.
 func (cs *clients) answerDropped(ref slots.Ref, c *client) bool {
 	d := c.dropped
-	for len(d.kinds) > 0 {
-		if !cs.mayProcess(ref, c) {
+	for len(d.unanswered) > 0 {
+		run := &d.unanswered[0]
+		switch {
+		case run.kind == 'X':
+			cs.close(c, closedTerminated)
 			return false
-		}
-		kind := d.kinds[0]
-		d.kinds = d.kinds[1:]
-		if kind == 'Q' {
+		case run.kind == 'Q' && !cs.mayProcess(ref, c):
+			return false
+		case run.kind == 'Q':
+			run.count--
 			cs.rejectDroppedQuery(c)
-		} else if !cs.readOtherMessage(ref, c, kind) {
+		case !isControlMessage(run.kind):
+			cs.closeForUnknownMessage(ref, run.kind)
 			return false
+		case !cs.mayAnswerControl(ref, c):
+			return false
+		default:
+			out := c.appendRunAnswers(cs.g.scratch[:0], run)
+			c.turnControlBytes += len(out)
+			cs.writeClient(c, out)
+		}
+		if run.count == 0 {
+			d.unanswered = d.unanswered[1:]
 		}
 		if c = cs.conns.Get(ref); c == nil {
 			return false
--- a/gateway/clientmessages.go
+++ b/gateway/clientmessages.go
@@ -29,10 +29,17 @@
 			return
 		}
 		if c.conn.OutboundBuffered() > 0 { // a slow reader gets no further responses until it has read these
+			cs.setAsideControlMessages(c)
 			cs.enterStage(ref, c, stageUnreadOutput)
 			cs.pollLater(ref, c)
 			return
 		}
+		if len(c.setAside) > 0 {
+			if !cs.answerSetAside(ref, c) {
+				return
+			}
+			continue
+		}
 		waiting := c.unprocessed()
 		if waiting == 0 && c.dropped != nil {
 			if !cs.answerDropped(ref, c) {
@@ -107,9 +114,11 @@
 	case err != nil:
 		cs.closeWithError(ref, "08P01", "no startup message of protocol version 3")
 		return 0
-	case kind == pgwire.EncryptionRequest && !cs.mayControl(ref, c):
+	case kind == pgwire.EncryptionRequest && c.encryptionRequests == maxEncryptionRequests:
+		cs.closeWithError(ref, "08P01", "too many requests for encryption")
 		return 0
 	case kind == pgwire.EncryptionRequest:
+		c.encryptionRequests++
 		cs.writeClient(c, append(cs.g.scratch[:0], 'N'))
 	case kind == pgwire.CancelRequest:
 		if key, ok := pgwire.ReadCancelKey(buf[:size]); ok {
@@ -139,7 +148,8 @@
 	return size
 }
 
-// readMessage processes one message of a session and returns its size; 0 if there is none or it stays in the buffer.
+// readMessage processes a query of a session, or the messages up to the next one, and returns their size; 0 if there is none or
+// it stays in the buffer.
 func (cs *clients) readMessage(ref slots.Ref, c *client, buf []byte) int {
 	kind, body, size, err := pgwire.ReadMessage(buf, maxMessageSize)
 	if err != nil {
@@ -149,43 +159,27 @@
 	if size == 0 {
 		return 0
 	}
-	if kind == 'Q' {
+	switch {
+	case kind == 'X':
+		cs.close(c, closedTerminated)
+		return 0
+	case kind == 'Q' && !isEmptyStatement(body):
 		return cs.readQuery(ref, c, body, size)
-	}
-	if !cs.readOtherMessage(ref, c, kind) {
+	case kind == 'Q' && !cs.canServe():
+		cs.pollLater(ref, c) // the response waits until queries can be served
 		return 0
 	}
-	return size
+	return cs.answerControlMessages(ref, c, size)
 }
 
-// readOtherMessage processes a message that is no query, of which the kind is all that matters. It returns false if the
-// connection ends by it.
-func (cs *clients) readOtherMessage(ref slots.Ref, c *client, kind byte) bool {
-	if kind == 'X' {
-		cs.close(c, closedTerminated)
-		return false
-	}
-	if !cs.mayControl(ref, c) {
-		return false
-	}
-	switch kind {
-	case 'S': // Sync
-		c.skippingToSync = false
-		cs.writeClient(c, pgwire.AppendReadyForQuery(cs.g.scratch[:0]))
-	case 'P', 'B', 'D', 'E', 'C', 'H', 'F': // the extended protocol and function calls
-		if !c.skippingToSync {
-			c.skippingToSync = kind != 'F'
-			out := pgwire.AppendError(cs.g.scratch[:0], "ERROR", "0A000", "only simple queries are served", "")
-			if kind == 'F' {
-				out = pgwire.AppendReadyForQuery(out)
-			}
-			cs.writeClient(c, out)
-		}
-	default:
-		cs.closeWithError(ref, "08P01", "unknown message "+strconv.QuoteRune(rune(kind)))
-		return false
-	}
-	return true
+// canServe reports whether the gateway has all that it needs to serve queries.
+func (cs *clients) canServe() bool {
+	return cs.g.discovery.list.received && (cs.g.agreement == nil || cs.g.agreement.ready())
+}
+
+// closeForUnknownMessage ends the connection of a client that sent a message of an unknown kind.
+func (cs *clients) closeForUnknownMessage(ref slots.Ref, kind byte) {
+	cs.closeWithError(ref, "08P01", "unknown message "+strconv.QuoteRune(rune(kind)))
 }
 
 // readQuery processes a query and returns its size, or 0 if it stays in the buffer. A txn's query stays there, where each
@@ -196,17 +190,6 @@
 		cs.closeWithError(ref, "08P01", "malformed query")
 		return 0
 	}
-	if len(trimStatement(text)) == 0 {
-		if !cs.g.discovery.list.received || cs.g.agreement != nil && !cs.g.agreement.ready() { // not able to serve yet: the response waits until it is
-			cs.pollLater(ref, c)
-			return 0
-		}
-		if !cs.mayControl(ref, c) {
-			return 0
-		}
-		cs.writeClient(c, pgwire.AppendReadyForQuery(pgwire.AppendEmptyQueryResponse(cs.g.scratch[:0])))
-		return size
-	}
 	if !cs.mayProcess(ref, c) {
 		return 0
 	}
@@ -233,11 +216,3 @@
 	cs.writeClient(c, pgwire.AppendReadyForQuery(out))
 	return size
 }
-
-// trimStatement removes leading white space and semicolons.
-func trimStatement(text []byte) []byte {
-	for len(text) > 0 && (text[0] <= ' ' || text[0] == ';') {
-		text = text[1:]
-	}
-	return text
-}
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -23,7 +23,8 @@
 	bufferMemoryDivisor      = 4         // all clients' buffers may fill 1/4 of the memory limit
 	guaranteedBufferSize     = 32 << 10  // bytes that a client may hold even when those buffers are full, if there is room for all clients
 	maxDiscardedBytes        = 256 << 10 // bytes read from a client while it is being closed
-	maxDroppedMessages       = 4096      // messages dropped for lack of memory that one client may be owed responses to
+	maxDroppedMessages       = 4096      // messages dropped for lack of memory that one client may be owed responses to; of others than queries, equal ones in a row count once
+	maxEncryptionRequests    = 8         // of one client, which has no use for more than one of each kind
 	maxConsecutiveErrors     = 8         // invalid statements in a row, after which a client is disconnected
 )
 
@@ -83,25 +84,27 @@
 	openedAt               decide.Nanos
 	user                   string
 	database               string
-	tenant                 int32        // number, in the generation in force, of the tenant whose connections it counts against, plus one
-	admitted               bool         // its startup message was accepted
-	hasQueried             bool         // has sent a valid query
-	hasDescriptor          bool         // has a descriptor of the budget; a client without one is turned away
-	skippingToSync         bool         // ignores messages up to Sync, after an error in the extended protocol
-	consecutiveErrors      int          // invalid statements in a row
-	bufferedBytes          int          // bytes in its buffers, as last counted
-	discardedBytes         int          // bytes read from it since stageClosing began
-	turn                   uint64       // number of the turn in which its queries were last processed
-	turnQueries            int          // queries processed in that turn
-	controlMessagesUntil   decide.Nanos // when the control messages that it has sent would be due at their mean interval
-	pollScheduled          bool         // a timerReadable deadline is pending for it
-	txn                    slots.Ref    // the open txn; its query is the first in the connection's buffer
-	allocationWaitSince    int64        // since when it has been waiting for a first allocation of a fleet-wide limit, 0 if it is not
-	allocatorResponsesSeen int          // allocator responses received when that wait began or was renewed
-	connectionLimit        uint64       // key of the fleet-wide connection limit that it counts against, 0 for none
+	tenant                 int32     // number, in the generation in force, of the tenant whose connections it counts against, plus one
+	admitted               bool      // its startup message was accepted
+	hasQueried             bool      // has sent a valid query
+	hasDescriptor          bool      // has a descriptor of the budget; a client without one is turned away
+	skippingToSync         bool      // ignores messages up to Sync, after an error in the extended protocol
+	consecutiveErrors      int       // invalid statements in a row
+	bufferedBytes          int       // bytes in its buffers, as last counted
+	discardedBytes         int       // bytes read from it since stageClosing began
+	turn                   uint64    // number of the turn in which its queries were last processed
+	turnQueries            int       // queries processed in that turn
+	turnControlBytes       int       // control messages processed in that turn
+	encryptionRequests     int       // received before its startup message
+	pollScheduled          bool      // a timerReadable deadline is pending for it
+	txn                    slots.Ref // the open txn; its query is the first in the connection's buffer
+	allocationWaitSince    int64     // since when it has been waiting for a first allocation of a fleet-wide limit, 0 if it is not
+	allocatorResponsesSeen int       // allocator responses received when that wait began or was renewed
+	connectionLimit        uint64    // key of the fleet-wide connection limit that it counts against, 0 for none
 	cancelKey              pgwire.CancelKey
 	consumedBytes          int64         // input bytes already processed
 	arrivals               []arrival     // arrival times of the bytes after those, oldest first
+	setAside               []messageRun  // control messages that are answered once it has read the answers before, ahead of its input
 	dropped                *droppedInput // what it sent beyond its share of the memory, nil while nothing of that is unanswered
 	fatalError             *fatalError   // to be sent once all that was read before it is answered, nil for none
 	closeReason            closeReason   // why the gateway closes the connection, empty while it stays open
@@ -180,6 +183,12 @@
 	}
 }
 
+// endStage ends a client's stage; the next read determines which one follows.
+func (cs *clients) endStage(c *client) {
+	cs.leaveStage(c)
+	c.stage = 0
+}
+
 // freeDescriptors closes silent clients until the needed number of descriptors is free: first those that never
 // sent a query, then those idle for at least minIdle, the longest silent first.
 func (cs *clients) freeDescriptors(needed int, minIdle decide.Nanos) {
@@ -201,7 +210,7 @@
 // would look accepted to the client and never be answered.
 func (cs *clients) closeUnlessUnread(c *client, reason closeReason) {
 	n, err := peek(c.conn.Fd())
-	if err == nil && n > 0 || c.conn.InboundBuffered() > 0 || c.dropped != nil {
+	if err == nil && n > 0 || c.conn.InboundBuffered() > 0 || len(c.setAside) > 0 || c.dropped != nil {
 		return
 	}
 	cs.close(c, reason)
--- a/gateway/eventloop.go
+++ b/gateway/eventloop.go
@@ -11,6 +11,9 @@
 	"magpieglade/internal/neterr"
 )
 
+// readBufferSize is how many bytes are read from a connection before the others have their turn.
+const readBufferSize = 16 << 10
+
 // serve runs the event loop until it ends. The loop does not use gnet's own listener, which would end the loop on the first
 // accept error that gnet does not know.
 func (g *Gateway) serve() error {
@@ -22,7 +25,7 @@
 		return err
 	}
 	defer g.listener.Close()
-	loop, err := gnet.NewClient(g, gnet.WithNumEventLoop(1), gnet.WithLogger(gnetLog{g.log}))
+	loop, err := gnet.NewClient(g, gnet.WithNumEventLoop(1), gnet.WithReadBufferCap(readBufferSize), gnet.WithLogger(gnetLog{g.log}))
 	if err != nil {
 		return err
 	}
