A session's floor reaches the decision module as a position, not as an age

Cause: Serve (gateway/sessions.go) worked out the floor's age from a later clock reading than the round's time from which the module subtracts it.

Change: RequirePosition gives the module the position itself, here and for the position that a client sent; there are no two readings to keep alike any more. Floors before the clock's zero count as 1, as they did in the module.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -147,6 +147,13 @@
 	}
 }
 
+// RequirePosition has a new read see a position of its group's log.
+func (g *Gateway) RequirePosition(id uint64, position Nanos) {
+	if t := g.txns[id]; t != nil {
+		t.token = max(1, position) // 0 means none
+	}
+}
+
 // RestrictReads keeps the reads of a new txn to some zones, given as a bit mask, while one of their members
 // is healthy. It may also shorten the txn's target latency.
 func (g *Gateway) RestrictReads(id uint64, zones uint64, targetLatency Nanos) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,7 +54,6 @@
 	dialsFailing  bool // with errors of the local machine
 	handlingEvent bool // an event handler runs; further events may be nested in it
 	inTurn        bool
-	turnTime      decide.Nanos // time of the module's current round
 	deadlines     deadlines.Queue[timerEvent]
 	timer         *time.Timer
 	timerSetTo    int64        // 0 if the timer is not set
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -121,8 +121,7 @@
 	g.lastTurnAt = startedAt
 	g.turn++
 	for {
-		g.turnTime = g.clock.now()
-		g.module.BeginRound(g.turnTime)
+		g.module.BeginRound(g.clock.now())
 		if g.sessions != nil { // inputs are applied at the current time: after an idle period the time of the last turn is long past
 			g.sessions.UpdateClock()
 		}
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -148,21 +148,16 @@
 	if t == nil || !t.awaitingFloor {
 		return
 	}
-	var age decide.Nanos
 	if minPosition > 0 {
-		t.floor = g.clockTime(minPosition)
-		// A minimum position of 0 or below would mean none.
-		if age = g.clock.now() - max(1, t.floor); age == 0 {
-			age = -1
-		}
+		t.floor = max(1, g.clockTime(minPosition)) // 0 would mean none
 	}
-	g.routeSessionRead(t, age)
+	g.routeSessionRead(t, t.floor)
 }
 
-// routeSessionRead passes a read to the decision module with the age of the position that it must see, 0 for none.
-func (g *Gateway) routeSessionRead(t *txn, age decide.Nanos) (ok bool) {
+// routeSessionRead passes a read to the decision module with the position that it must see, 0 for none.
+func (g *Gateway) routeSessionRead(t *txn, floor decide.Nanos) (ok bool) {
 	t.awaitingFloor = false
-	if err := g.addToModule(t, max(1, t.heldUntil-g.clock.now()), age); err != nil {
+	if err := g.addToModule(t, max(1, t.heldUntil-g.clock.now()), floor); err != nil {
 		g.rollBack(t.id)
 		return false
 	}
--- a/gateway/txns.go
+++ b/gateway/txns.go
@@ -139,27 +139,26 @@
 		g.addSessionRead(added, budget)
 		return ""
 	}
-	var age decide.Nanos
+	var floor decide.Nanos
 	if consistency == "causal" && comment.After > 0 {
-		// Relative to the turn's time, from which the decision module subtracts it: relative to a later time, the position
-		// would come out older than it is. A position ahead of the clock, as commits are rounded up, must not count as
-		// the present either: its age is negative.
-		if age = g.turnTime - g.clock.fromUnixMs(comment.After); age == 0 {
-			age = -1 // 0 means no position
-		}
+		floor = max(1, g.clock.fromUnixMs(comment.After))
 	}
-	if err := g.addToModule(added, budget, age); err != nil {
+	if err := g.addToModule(added, budget, floor); err != nil {
 		g.releaseIfDone(c.txn, true)
 		return err.Error()
 	}
 	return ""
 }
 
-// addToModule adds a txn to the decision module, which from then on decides when it ends.
-func (g *Gateway) addToModule(t *txn, budget, writeAge decide.Nanos) error {
-	if err := g.module.AddTxn(t.id, t.class, 0, t.session, budget, 0, t.comment.Group, writeAge); err != nil {
+// addToModule adds a txn to the decision module, which from then on decides when it ends. Its read must see the position floor,
+// 0 for none.
+func (g *Gateway) addToModule(t *txn, budget, floor decide.Nanos) error {
+	if err := g.module.AddTxn(t.id, t.class, 0, t.session, budget, 0, t.comment.Group, 0); err != nil {
 		return err
 	}
+	if floor > 0 {
+		g.module.RequirePosition(t.id, floor)
+	}
 	g.generations.restrictReads(t)
 	if g.shuttingDown {
 		g.module.LimitExpiry(t.id, g.answerDeadline)
