--- a/decide/decide.go
+++ b/decide/decide.go
@@ -4,7 +4,8 @@
 // SubmissionEnded, ProbeEnded, ClientGone, UpdateMember followed by EndMemberList, and MemberListFailed,
 // which only update state; then call Next until it reports that no decision is left. A Wake decision asks
 // for another round. interface.go holds the types of this interface, site.go the settings that are read,
-// state.go the state and helpers, and told.go the exchange with other gateways.
+// state.go the state and helpers, roles.go what members told of themselves, freshness.go what a read must see, and
+// told.go the exchange with other gateways.
 //
 // docs/design.md describes which parts of the design are implemented.
 package decide
@@ -184,7 +185,7 @@
 	g.recordReport(m, report, role)
 	if role == RolePrimary && g.settings.Replication.WhenBehind != "none" {
 		m.advancePosition(s.sentAt) // a primary's position is the present
-		m.primaryPosition = max(m.primaryPosition, s.sentAt)
+		m.claimedAt(s.sentAt)
 	}
 	switch r {
 	case Committed:
--- a/decide/state.go
+++ b/decide/state.go
@@ -100,9 +100,6 @@
 	nextTrialAt, trialInterval   Nanos
 }
 
-// denial is when a member told that it is a replica, and when it was removed.
-type denial struct{ toldAt, removedAt Nanos }
-
 // group is a primary, its replicas and the txns queued for them.
 type group struct {
 	id            int
@@ -692,40 +689,6 @@
 	})
 }
 
-// ReceiveUpdate applies another gateway's update. It may be late: what it proves still holds, and of two
-// members that were primary the later one counts. What the member told this gateway counts unless the update is
-// surely later: a position may lie ahead of its time.
-func (g *Gateway) ReceiveUpdate(update MemberUpdate) {
-	m := g.members[update.Server]
-	if m == nil || update.Position > m.group.groupTime(g.now) || m.group.recentlySteppedBack(g.now) {
-		return
-	}
-	toldAt := update.Position - m.group.clockLead // if it is a primary's
-	m.sharedPosition = max(m.sharedPosition, update.Position)
-	m.advancePosition(update.Position)
-	m.lastLag, m.lagSeenAt, m.positionSeenAt = max(min(g.estimatedLag(m), g.now-toldAt), g.now-toldAt-maxReportDelay), g.now, g.now
-	if !update.Primary || toldAt-g.maxPositionLead() <= max(m.roleAt, m.deniedAt, m.roleUnreadAt) {
-		return
-	}
-	if p := g.primaryOf(m.group); p == nil || toldAt > p.roleAt && update.Position > p.primaryPosition {
-		g.recordRole(m, RolePrimary, toldAt, m.role != RolePrimary || m.roleRelayed)
-	}
-}
-
-// sendUpdates returns all pending updates as one message per round.
-func (g *Gateway) sendUpdates() (Decision, bool) {
-	if len(g.pendingUpdates) == 0 {
-		return Decision{}, false
-	}
-	d := Decision{Kind: SendUpdates}
-	for _, m := range g.pendingUpdates {
-		d.Updates = append(d.Updates, MemberUpdate{m.id, m.position, m.position == m.toldPrimaryPosition()})
-		m.updatePending, m.sharedPosition = false, m.position
-	}
-	g.pendingUpdates = g.pendingUpdates[:0]
-	return d, true
-}
-
 // isCold reports whether a member started too recently to be warm.
 func (g *Gateway) isCold(m *member) bool {
 	return m.startedAt > 0 && g.now-m.startedAt < g.settings.Rules.ColdDuration
--- a/decide/told.go
+++ b/decide/told.go
@@ -1,8 +1,8 @@
 package decide
 
 // This file holds the optional exchange with a host that communicates with other gateways, in addition to
-// the member list and answers. Its information is a hint: a member's own answers take precedence, and no
-// rule relies on it.
+// the member list and answers. Positions and primaries are what members told the other gateways, and count like
+// words of theirs that are as old; the rest is a hint. What a member told this gateway takes precedence.
 
 // MemberState is what this gateway itself has observed of a member.
 type MemberState struct {
@@ -32,6 +32,40 @@
 	return s
 }
 
+// ReceiveUpdate applies another gateway's update. It may be late: what it proves still holds, and of two
+// members that were primary the later one counts. What the member told this gateway counts unless the update is
+// surely later: a position may lie ahead of its time.
+func (g *Gateway) ReceiveUpdate(update MemberUpdate) {
+	m := g.members[update.Server]
+	if m == nil || update.Position > m.group.groupTime(g.now) || m.group.recentlySteppedBack(g.now) {
+		return
+	}
+	toldAt := update.Position - m.group.clockLead // if it is a primary's
+	m.sharedPosition = max(m.sharedPosition, update.Position)
+	m.advancePosition(update.Position)
+	m.lastLag, m.lagSeenAt, m.positionSeenAt = max(min(g.estimatedLag(m), g.now-toldAt), g.now-toldAt-maxReportDelay), g.now, g.now
+	if !update.Primary || toldAt-g.maxPositionLead() <= max(m.roleAt, m.deniedAt, m.roleUnreadAt) {
+		return
+	}
+	if p := g.primaryOf(m.group); p == nil || toldAt > p.roleAt && update.Position > p.primaryPosition {
+		g.recordRole(m, RolePrimary, toldAt, m.role != RolePrimary || m.roleRelayed)
+	}
+}
+
+// sendUpdates returns all pending updates as one message per round.
+func (g *Gateway) sendUpdates() (Decision, bool) {
+	if len(g.pendingUpdates) == 0 {
+		return Decision{}, false
+	}
+	d := Decision{Kind: SendUpdates}
+	for _, m := range g.pendingUpdates {
+		d.Updates = append(d.Updates, MemberUpdate{m.id, m.position, m.position == m.toldPrimaryPosition()})
+		m.updatePending, m.sharedPosition = false, m.position
+	}
+	g.pendingUpdates = g.pendingUpdates[:0]
+	return d, true
+}
+
 // ReportUnhealthy records that several other gateways find a member silent. If this gateway has nothing in
 // flight to it and no recent answer from it, the member gets a trial before more traffic: otherwise each
 // gateway would lose a txn to learn what the others know. If those gateways share a network fault, this may
--- a/signals/signals.go
+++ b/signals/signals.go
@@ -1,6 +1,7 @@
 // Package signals disseminates what each gateway of a fleet observes about members to all gateways by gossip,
 // and summarizes the reports received about a member: how many gateways sent them and how old they are.
-// Reports are hints: no correctness rule depends on them, and a gateway's own observations take precedence.
+// Reports of positions and primaries hold what a member told their origin, and reads rely on them; all others are hints.
+// A gateway's own observations take precedence.
 // The package does no I/O and has no clock or randomness of its own.
 //
 // Call New once. Then, in each round, call Clock with the time, then any of SetFleet, SetMembers, Observe and
@@ -23,7 +24,7 @@
 // Observation kinds. For each kind, the latest report of each origin counts.
 const (
 	Position Kind = iota + 1 // a log position that the member is proven to have reached
-	Primary                  // the same, and the member was the primary then
+	Primary                  // the same, and the member told it together with being the primary
 	Health                   // Healthy or Unhealthy
 	Latency                  // response latency, microseconds
 	Load                     // txns that the origin has in flight to the member
