Another gateway's word on a primary has to be later by the lead that positions showed, not by 5 ms

Change: a group keeps how far ahead of its clock a position was seen, up to those 5 ms; that, and the clock error of the settings, is the margin.

Tests: Example_relayedPrimaryWithinTheLeadOfPositions, in place of the one with the fixed margin, with and without a position ahead.

--- a/decide/groupclock.go
+++ b/decide/groupclock.go
@@ -32,10 +32,11 @@
 		return 0
 	}
 	if lead > grp.clockLead+g.maxPositionLead() {
-		grp.clockLead = lead
+		grp.clockLead, grp.positionLead = lead, 0
 		g.log("group %d: its clock is %d ms ahead", grp.id, lead/ms)
 		return 0
 	}
+	grp.positionLead = max(grp.positionLead, lead-grp.clockLead)
 	if primary && position-since < grp.clockLead {
 		g.lowerClockLead(grp, max(0, position-since), position)
 	}
--- a/decide/relayed_test.go
+++ b/decide/relayed_test.go
@@ -154,16 +154,28 @@
 	// true false
 }
 
-// A position may lie a little ahead of its time, so another gateway's word counts as later than a member's denial only beyond
-// that.
-func Example_relayedPrimaryWithinTheLeadOfItsPosition() {
-	t := openSharing().list("a* b").txn(1, 3, 0).printRound().end(1, 0, "a", NotEligible, 2, 9000)
-	t.at(10_020).g.ReceiveUpdate(MemberUpdate{Server{'a'}, Millis(10_004), true})
-	fmt.Println(t.g.StateOf(Server{'a'}).Primary)
-	t.g.ReceiveUpdate(MemberUpdate{Server{'a'}, Millis(10_006), true})
-	fmt.Println(t.g.StateOf(Server{'a'}).Primary)
+// Positions of a group may lie a little ahead of this gateway's clock, so another gateway's word counts as later than a member's
+// denial only beyond as much as was seen.
+func Example_relayedPrimaryWithinTheLeadOfPositions() {
+	for _, lead := range []float64{0, 4} {
+		t := openSharing().list("a* b").txn(2, 2, 0).printRound().end(2, 0, "b", Committed, 2, 10_000+lead)
+		t.txn(1, 3, 0).printRound().end(1, 0, "a", NotEligible, 2, 9000)
+		for _, position := range []float64{10_000, 10_004, 10_005} {
+			t.at(10_020).g.ReceiveUpdate(MemberUpdate{Server{'a'}, Millis(position), true})
+			fmt.Println(t.g.StateOf(Server{'a'}).Primary)
+		}
+	}
 	// Output:
-	// 10000 submit 1 to a
+	// 10000 submit 2 to b
+	//  10000 submit 1 to a
+	//  10000 update b at 10000
+	// false
+	// true
+	// true
+	//  10000 submit 2 to b
+	//  10000 submit 1 to a
+	//  10000 update b at 10004
+	// false
 	// false
 	// true
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -111,6 +111,7 @@
 	answeredAt    Nanos
 	writes        map[uint64]*sessionWrites // by session, if they are to be remembered here
 	forgotten     Nanos                     // highest position of a write that was deleted from writes
+	positionLead  Nanos                     // the furthest that a position was ahead of the clock so estimated
 	steppedBackAt Nanos                     // when a position last showed that the clock of its servers was stepped back, 0 for never
 	clockLead     Nanos                     // how far the clock of its servers is ahead of this gateway's, as estimated
 }
--- a/decide/told.go
+++ b/decide/told.go
@@ -44,7 +44,7 @@
 	m.sharedPosition = max(m.sharedPosition, update.Position)
 	m.advancePosition(update.Position)
 	m.lastLag, m.lagSeenAt, m.positionSeenAt = max(min(g.estimatedLag(m), g.now-toldAt), g.now-toldAt-maxReportDelay), g.now, g.now
-	if !update.Primary || toldAt-g.maxPositionLead() <= max(m.roleAt, m.deniedAt, m.roleUnreadAt) {
+	if !update.Primary || toldAt-m.group.positionLead-g.settings.Replication.ClockError <= max(m.roleAt, m.deniedAt, m.roleUnreadAt) {
 		return
 	}
 	if p := g.primaryOf(m.group); p == nil || toldAt > p.roleAt && update.Position > p.primaryPosition {
