A suspect gets a trial under light load too, where another member is always the least loaded

Cause: a suspect is tried by a read for which it is the least loaded member.

Change: a suspect whose trial is due for maxTrialInterval and the time of 500 of the gateway's txns gets the next read that may be its trial.

Test: Example_trialUnderLightLoad fails before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -51,6 +51,7 @@
 	silenceThreshold      = 12.0      // a member is suspect once its work in flight has waited for this many mean latencies in total
 	minSilence            = 4.0       // and its last answer was this many mean latencies ago: both are rare by chance
 	maxTrialInterval      = 500 * ms  // so that a member that has recovered is not left idle for long
+	txnsPerOverdueTrial   = 500.0     // txns of this gateway for each trial of a suspect that would get none by its load
 	maxWarmSilence        = 1000 * ms // a suspect that is back after longer starts again with a small limit
 	refusalRest           = 100 * ms  // a member that refused a connection gets none for this long, +/- 50% jitter
 	maxRefusals           = 4         // refusals without an answer in between that make it suspect, after a second
@@ -1056,6 +1057,9 @@
 			(t.inFlight+t.errorCount > 0 && t.sentTo(m, 0)) || !g.inTime(t, m) {
 			continue
 		}
+		if m.suspect && g.trialOverdue(m) {
+			return m
+		}
 		// The slowdown compares its latency with the service times of its txns on all members.
 		cost := float64(m.inFlight+1) * m.slowdown.valueWithPrior(g.now, latencyDecay, 1, peerPriorWeight) * (1 + 0.01*g.rng.unit())
 		if m.zone != g.settings.Zone {
@@ -1074,6 +1078,13 @@
 	return best
 }
 
+// trialOverdue reports whether a suspect has had no trial for long, as under light load the same other member is always the
+// least loaded one. Such trials stay a small part of this gateway's txns: each may be late.
+func (g *Gateway) trialOverdue(m *member) bool {
+	rate := g.arrivals.rate(g.now, g.startedAt, classDecay)
+	return g.now-m.nextTrialAt > maxTrialInterval+Nanos(txnsPerOverdueTrial/max(rate, 1e-12))
+}
+
 // hasCapacity reports whether a member may take one more submission: by its limit, a suspect's trials or a
 // cold member's budget.
 func (g *Gateway) hasCapacity(m *member, t *txn) bool {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1066,3 +1066,35 @@
 	//  10000 submit 4 to a
 	// 300 40
 }
+
+// A suspect gets a trial under light load too, where the same other member is always the least loaded: without one it would
+// stay suspect for good. Until then the reads go to that member.
+func Example_trialUnderLightLoad() {
+	t := open().list("p* a b")
+	const suspectAt = 11_000
+	triedAt, b := 0.0, t.g.members[Server{'b'}]
+	for id := uint64(0); t.clock < 25_000; id++ {
+		if t.clock >= suspectAt && triedAt == 0 && !b.suspect {
+			t.g.markSuspect(b, "it was silent", false)
+		}
+		t.txn(id, 2, 0)
+		t.g.BeginRound(Millis(t.clock))
+		for d, ok := t.g.Next(); ok; d, ok = t.g.Next() {
+			if d.Kind != Submit {
+				continue
+			}
+			elapsed := 15.0
+			if d.Server[0] == 'a' {
+				elapsed = 5
+			}
+			if d.Server[0] == 'b' && b.suspect {
+				triedAt = t.clock
+			}
+			t.at(t.clock+elapsed).g.SubmissionEnded(d.Txn, 0, d.Server, Committed, Millis(elapsed), RoleReplica, 0, true, nil)
+		}
+		t.at(t.clock + 10)
+	}
+	fmt.Println(b.suspect, triedAt > suspectAt+500, triedAt < suspectAt+10_000)
+	// Output:
+	// false true true
+}
