A recovery from a stall ends only once the loop has read

Cause: it ended after two rounds of 1 ms without events. The loop runs all tasks that wait before it reads, and the rounds are tasks: while others follow one another both rounds passed without a look at the sockets.

Change: a round without events asks the kernel by one poll whether any connection of the loop has unread input; while one has, the recovery goes on, for a second at the longest.

--- a/gateway/arrivals_test.go
+++ b/gateway/arrivals_test.go
@@ -73,6 +73,39 @@
 	}
 }
 
+// TestRecoveryEndsOnceTheLoopHasRead guards against a recovery that is over before the loop has read anything: the loop runs
+// all tasks that wait before it reads, and the rounds of a recovery are tasks too.
+func TestRecoveryEndsOnceTheLoopHasRead(t *testing.T) {
+	t.Parallel()
+	const wait, stall = 9000 * decide.Millisecond, 600 * time.Millisecond
+	const tasks, taskTime = 8, 2 * recoveryRound
+	d, m := newScriptedServer(t), newScriptedServer(t)
+	g, ended, stop := startTestGateway(t, d, m.listEntry("m", "active"))
+	c := connectClient(t, g)
+	var sentAt decide.Nanos
+	g.runOnLoop(func() {
+		sentAt = g.clock.now()
+		c.sendTxn("any", int(wait/decide.Millisecond))
+		<-time.After(stall)
+		left := tasks
+		var runTask func()
+		runTask = func() {
+			<-time.After(time.Duration(taskTime)) // the next round of the recovery is a task of the loop by then
+			if left--; left > 0 {
+				g.post(runTask)
+			}
+		}
+		g.post(runTask)
+	})
+	up := m.acceptConnection(t)
+	t.Cleanup(func() { _ = up.Close() }) // not before, by the garbage collector
+	if over := g.jobDeadline(t) - (sentAt + wait); over > deadlineSlack || over < -deadlineSlack {
+		t.Errorf("the member is told %d ms more than is left to the client", over/decide.Millisecond)
+	}
+	stop()
+	<-ended
+}
+
 // TestQueryThatCameDuringAStallKeepsItsTime guards against queries that count as old as the stall in which they came: one that
 // came at its end has nearly all its time left.
 func TestQueryThatCameDuringAStallKeepsItsTime(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,7 +60,8 @@
 	turn          uint64       // number of the current or last turn
 	lastTurnAt    decide.Nanos // when the last turn began
 	recovery      stallRecovery
-	wallLead      time.Duration // of the wall clock, as last told to the module
+	openConns     map[gnet.Conn]struct{} // those of the loop
+	wallLead      time.Duration          // of the wall clock, as last told to the module
 
 	budget          descriptorBudget
 	clients         clients
@@ -120,6 +121,7 @@
 		g.network = SystemNetwork{}
 	}
 	g.log = slog.New(levelHandler{cmp.Or(c.Log, slog.Default()).Handler(), g.logLevel}).With("gateway", c.Name)
+	g.openConns = map[gnet.Conn]struct{}{}
 	g.members = members{g: g, pools: map[decide.Server]*pool{}}
 	g.clients.cancelKeys = map[uint32]slots.Ref{}
 	g.clients.g, g.discovery.g, g.discovery.draining = g, g, map[decide.Server]bool{}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -305,6 +305,7 @@
 func (g *Gateway) connOpened(c gnet.Conn) (out []byte, action gnet.Action) {
 	o := c.Context().(*owner)
 	o.opened = true
+	g.openConns[c] = struct{}{}
 	g.recovery.events++
 	if o.hasDescriptor && g.dialsFailing {
 		g.dialsFailing = false
@@ -380,6 +381,7 @@
 
 // connClosed releases what a connection held.
 func (g *Gateway) connClosed(c gnet.Conn, o *owner, err error) {
+	delete(g.openConns, c)
 	g.recovery.events++
 	if o.hasDescriptor {
 		g.budget.release(1)
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -15,12 +15,13 @@
 // before deadlines are handled and anything is decided or sent, and dates queries by their arrival.
 
 const (
-	heartbeatInterval = 50 * decide.Millisecond // between deadlines of the loop that serve to notice a stall
-	stallThreshold    = 25 * decide.Millisecond // lateness of the earliest deadline that counts as a stall
-	recoveryRound     = 1 * decide.Millisecond  // for the loop to read what is pending
-	quietRounds       = 2                       // rounds in a row without events that end a recovery
-	maxRecoveryTime   = 20 * decide.Millisecond // of a recovery during which events keep coming
-	maxRestarts       = 3                       // of a recovery by further stalls: a starved process has to go on
+	heartbeatInterval = 50 * decide.Millisecond   // between deadlines of the loop that serve to notice a stall
+	stallThreshold    = 25 * decide.Millisecond   // lateness of the earliest deadline that counts as a stall
+	recoveryRound     = 1 * decide.Millisecond    // for the loop to read what is pending
+	quietRounds       = 2                         // rounds in a row without events that end a recovery
+	maxRecoveryTime   = 20 * decide.Millisecond   // of a recovery during which events keep coming
+	maxUnreadTime     = 1000 * decide.Millisecond // of a recovery in which the loop does not come to reading
+	maxRestarts       = 3                         // of a recovery by further stalls: a starved process has to go on
 	// Age of a query from which its client may have left unnoticed, so that the connection is looked at before it is sent.
 	uncheckedQueryAge = 20 * decide.Millisecond
 )
@@ -28,7 +29,8 @@
 // stallRecovery is the state of the recovery from a stall. Only the event loop may use it.
 type stallRecovery struct {
 	active      bool
-	startedAt   decide.Nanos
+	begunAt     decide.Nanos
+	startedAt   decide.Nanos // later than begunAt if the time limit has been started again
 	stalledFrom decide.Nanos // what the loop finds unread arrived no earlier
 	events      int          // connections opened, read and closed since the last round
 	quietRounds int          // rounds in a row without any
@@ -51,20 +53,29 @@
 		return
 	}
 	g.outcomes.stalls++
-	g.recovery = stallRecovery{active: true, startedAt: now, stalledFrom: g.lastTurnAt, heldQueries: g.recovery.heldQueries[:0]}
+	g.recovery = stallRecovery{active: true, begunAt: now, startedAt: now, stalledFrom: g.lastTurnAt, heldQueries: g.recovery.heldQueries[:0]}
 	g.setTimerTo(int64(now + recoveryRound))
 }
 
-// continueRecovery ends a round of the recovery. It returns false if another one follows.
+// continueRecovery ends a round of the recovery. It returns false if another one follows. A round is a task of the loop, which
+// runs all tasks that wait before it reads: no recovery ends by rounds between which nothing could be read.
 func (g *Gateway) continueRecovery() (done bool) {
 	r := &g.recovery
-	if r.events == 0 && !g.hasPendingClients() {
-		r.quietRounds++
-	} else {
+	now := g.clock.now()
+	switch {
+	case r.events > 0:
+		r.quietRounds = 0
+	case g.hasUnreadInput():
+		r.quietRounds = 0
+		if now-r.begunAt < maxUnreadTime {
+			r.startedAt = now
+		}
+	case g.hasPendingClients():
 		r.quietRounds = 0
+	default:
+		r.quietRounds++
 	}
 	r.events = 0
-	now := g.clock.now()
 	if r.quietRounds < quietRounds && now-r.startedAt < maxRecoveryTime {
 		g.setTimerTo(int64(now + recoveryRound))
 		return false
@@ -73,6 +84,16 @@
 	return true
 }
 
+// hasUnreadInput reports whether a connection of the loop has input, or its end, that the loop has not read.
+func (g *Gateway) hasUnreadInput() bool {
+	descriptors := make([]unix.PollFd, 0, len(g.openConns))
+	for c := range g.openConns {
+		descriptors = append(descriptors, unix.PollFd{Fd: int32(c.Fd()), Events: unix.POLLIN})
+	}
+	n, err := unix.Poll(descriptors, 0)
+	return err == unix.EINTR || err == nil && n > 0 // if interrupted, it is not known: the next round will tell
+}
+
 // hasPendingClients reports whether connections wait to be accepted.
 func (g *Gateway) hasPendingClients() (pending bool) {
 	l, ok := g.listener.(interface {
