Stand-ins of the gateway's tests keep their connections open to the end

Cause: TestTranscriptOfASilentWatchBeforeADrain failed once with two more lines of the log. The test refers to its second watch no more after the last call was read, so the garbage collector may close that connection before the transcript is compared, and the gateway logs a lost list.

Change: a scripted server keeps all connections that it accepted and closes them when the test ends. No check has changed.

--- a/gateway/arrivals_test.go
+++ b/gateway/arrivals_test.go
@@ -52,7 +52,6 @@
 			c := connectClient(t, g)
 			c.sendTxn("any", 9000)
 			up := m.acceptConnection(t)
-			t.Cleanup(func() { _ = up.Close() }) // not before, by the garbage collector
 			up.readQuery()
 			up.sendRow("m", "read-only")
 			c.readResponse()
@@ -97,8 +96,7 @@
 		}
 		g.post(runTask)
 	})
-	up := m.acceptConnection(t)
-	t.Cleanup(func() { _ = up.Close() }) // not before, by the garbage collector
+	m.acceptConnection(t)
 	if over := g.jobDeadline(t) - (sentAt + wait); over > deadlineSlack || over < -deadlineSlack {
 		t.Errorf("the member is told %d ms more than is left to the client", over/decide.Millisecond)
 	}
--- a/gateway/held_test.go
+++ b/gateway/held_test.go
@@ -42,10 +42,13 @@
 	return &testConn{c.(*net.TCPConn), bufio.NewReader(c)}
 }
 
-// scriptedServer is a listener whose connections the test serves step by step.
+// scriptedServer is a listener whose connections the test serves step by step. They stay open until the test ends: the garbage
+// collector would close one that the test no longer refers to, which the gateway would notice.
 type scriptedServer struct {
 	listener net.Listener
 	accepted chan *testConn
+	mu       sync.Mutex
+	open     []net.Conn
 }
 
 func newScriptedServer(t *testing.T) *scriptedServer {
@@ -53,20 +56,33 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	s := &scriptedServer{l, make(chan *testConn, 1000)}
+	s := &scriptedServer{listener: l, accepted: make(chan *testConn, 1000)}
+	t.Cleanup(s.close)
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
+			s.mu.Lock()
+			s.open = append(s.open, c)
+			s.mu.Unlock()
 			s.accepted <- newTestConn(c)
 		}
 	}()
 	return s
 }
 
+// close ends the listener and all connections.
+func (s *scriptedServer) close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.open {
+		_ = c.Close()
+	}
+}
+
 // accept waits for the next connection.
 func (s *scriptedServer) accept(t *testing.T) *testConn {
 	t.Helper()
