TestRemovalAndUndo: wait for a read that hangs, not for any busy query

Cause: the test excludes a member once it is busy, and then wants a read that was in flight there. Busy counted probes too, and an answered read for a moment after its answer, so under load the change came before any read had been sent to the member.

Change: the stand-in tells how many queries other than probes wait while it hangs, in place of how many are in progress.

--- a/gateway/generations_test.go
+++ b/gateway/generations_test.go
@@ -148,7 +148,7 @@
 	removed.SetHung(true)
 	got := make(chan map[string]int)
 	go func() { got <- reads(20) }()
-	pollUntil(func() bool { return removed.Busy() > 0 })
+	pollUntil(func() bool { return removed.Hanging() > 0 })
 	applyAndAwait(t, g, &routes.Document{Excluded: []routes.Member{{Name: removed.Name}}}, time.Hour)
 	removed.SetHung(false)
 	if at := <-got; at[removed.Name] == 0 {
--- a/standin/member.go
+++ b/standin/member.go
@@ -40,7 +40,7 @@
 
 	utilization atomic.Int64 // in thousandths
 	queries     atomic.Int64
-	busy        atomic.Int64
+	hanging     atomic.Int64
 }
 
 // NewMember starts a server at an address of its own.
@@ -68,8 +68,8 @@
 // Queries returns the number of queries received, including probes.
 func (m *Member) Queries() int { return int(m.queries.Load()) }
 
-// Busy returns the number of queries in progress.
-func (m *Member) Busy() int { return int(m.busy.Load()) }
+// Hanging returns the number of queries that wait while the server hangs, without probes.
+func (m *Member) Hanging() int { return int(m.hanging.Load()) }
 
 // Connections returns the number of open connections.
 func (m *Member) Connections() int {
@@ -244,6 +244,9 @@
 	}
 }
 
+// probeQuery asks a server for its load report.
+const probeQuery = "SHOW stats"
+
 var (
 	parameter = regexp.MustCompile(`([a-z]+)=([^,*\s]+)`)
 	quoted    = regexp.MustCompile(`'([^']*)'`)
@@ -253,8 +256,7 @@
 // handleQuery handles one query; false ends the connection.
 func (m *Member) handleQuery(b *pgproto3.Backend, sql string) bool {
 	m.queries.Add(1)
-	m.busy.Add(1)
-	defer m.busy.Add(-1)
+	isProbe := sql == probeQuery
 	m.mu.Lock()
 	hung, drain, delay, cores, cost := m.resume, m.draining, m.delay, m.cores, m.costOf
 	m.mu.Unlock()
@@ -262,9 +264,15 @@
 		m.group.mu.Lock()
 		m.group.record(Event{Member: m.Name, Kind: "hung"})
 		m.group.mu.Unlock()
+		if !isProbe {
+			m.hanging.Add(1)
+		}
 		<-hung
+		if !isProbe {
+			m.hanging.Add(-1)
+		}
 	}
-	if sql == "SHOW stats" {
+	if isProbe {
 		m.group.mu.Lock()
 		m.group.record(Event{Member: m.Name, Kind: "probe", Position: m.group.position(m)})
 		m.group.mu.Unlock()
