A gateway that knows no primary of a group looks for it by probes

Cause: reads that any member may answer keep to the quickest members, and a gateway reports a primary only if it was told by the member itself. When the one gateway that was told has gone, the others know the primary and report nothing; one that starts learns none and keeps its subset wide.

Change: while no primary is known and the subset is widened for it, the members are probed for their role, at growing intervals (SeekPrimary). The simulation does the same.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,6 +33,7 @@
 	// Member list: backoff of list requests.
 	initialBackoff      = 250 * ms  // first retry of list requests and of trials of suspects, doubled each time
 	maxSubscribeBackoff = 1250 * ms // max backoff of list requests before +/- 50% jitter: docs/design.md has the calculation
+	maxSeekPause        = 5000 * ms // between searches for an unknown primary: all gateways of a fleet may search
 	pushedListBackoff   = 100 * ms  // where lists are pushed: a retry must come well within the grace for drains
 	pushedListAge       = 6000 * ms // after which a change of a pushed list counts as known, whatever has failed
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -348,6 +348,36 @@
 	//  10210 submit 5 to b
 }
 
+// Where nothing but reads that any member may answer arrives, no primary becomes known by them. A host that needs one has all
+// members probed, at growing intervals, until one of them tells that it is the primary.
+func Example_seekPrimary() {
+	reports := `"how":"probe","fields":["x0","x1"]`
+	t := open(`"how":"none","fields":[]`, reports, `"probes":false`, `"probes":true`).list("a b c")
+	probed := map[byte]int{}
+	seek := func(until float64) {
+		for ; t.clock < until; t.at(t.clock + 100) {
+			t.g.SeekPrimary(0)
+			for d, ok := t.g.Next(); ok; d, ok = t.g.Next() {
+				if d.Kind == Probe {
+					probed[d.Server[0]]++
+				}
+			}
+		}
+	}
+	seek(10_300)
+	fmt.Println(probed['a'], probed['b'], probed['c'])
+	seek(40_000)
+	fmt.Println(probed['a'] > 4, probed['a'] < 12)
+	t.g.ProbeEnded(Server{'b'}, Committed, Millis(2), []float64{40, 1})
+	clear(probed)
+	seek(60_000)
+	fmt.Println(len(probed))
+	// Output:
+	// 1 1 1
+	// true true
+	// 0
+}
+
 // Reads give way on a primary whose writes are queued or whose latency rises.
 func Example_writesFirst() {
 	t := open("await", "none").list("a*").txn(1, 3, 0).printRound().at(10250).end(1, 0, "a", Committed, 1, 10240)
--- a/decide/roles.go
+++ b/decide/roles.go
@@ -67,6 +67,8 @@
 	m.role, m.roleAt, m.roleRelayed, m.roleUnreadAt = role, toldAt, relayed, 0
 	if role == RoleReplica {
 		m.deniedAt = toldAt
+	} else {
+		m.group.seekPause = 0
 	}
 	for _, o := range m.group.members {
 		// Only one primary at a time: the newest report wins, however late the other's answers are.
--- a/decide/state.go
+++ b/decide/state.go
@@ -114,6 +114,8 @@
 	positionLead  Nanos                     // the furthest that a position was ahead of the clock so estimated
 	steppedBackAt Nanos                     // when a position last showed that the clock of its servers was stepped back, 0 for never
 	clockLead     Nanos                     // how far the clock of its servers is ahead of this gateway's, as estimated
+	nextSeekAt    Nanos                     // no search for the primary by probes before
+	seekPause     Nanos                     // mean time between such searches, 0 since a primary has been known
 }
 
 // submission is one attempt of a txn at a member.
--- a/decide/told.go
+++ b/decide/told.go
@@ -101,3 +101,17 @@
 		g.logPrimaryChange(grp)
 	}
 }
+
+// SeekPrimary has the members of a group probed for their role while no primary is known, less and less often. Reads that any
+// member may answer do not find it, as they keep to the same quick members, and what other gateways were told of it
+// by another one they do not pass on.
+func (g *Gateway) SeekPrimary(groupID int) {
+	for _, grp := range g.groups {
+		if grp.id != groupID || g.primaryOf(grp) != nil || g.now < grp.nextSeekAt {
+			continue
+		}
+		grp.seekPause = min(max(initialBackoff, 2*grp.seekPause), maxSeekPause)
+		grp.nextSeekAt = g.now + Nanos((0.5+g.rng.unit())*float64(grp.seekPause))
+		g.markUnproven(grp, nil, grp.groupTime(g.now)+1)
+	}
+}
--- a/fleet/coordination.go
+++ b/fleet/coordination.go
@@ -55,6 +55,7 @@
 	// GroupState returns the group number, whether its primary is known, how many replicas the decision module uses, and how
 	// many of them lack a proven position.
 	GroupState(group int) (number int, primaryKnown bool, replicas, unproven int)
+	SeekPrimary(group int) // looks for the primary of a group that has none known
 }
 
 // MemberObservation is what this gateway itself has observed of a member and may report to other gateways.
@@ -324,6 +325,9 @@
 		c.Subset.Clock(now)
 		for _, no := range slices.Sorted(maps.Keys(groups)) {
 			need := c.Subset.Observe(c.host.GroupState(no))
+			if need == subset.NeedPrimary {
+				c.host.SeekPrimary(no)
+			}
 			if widened := c.Subset.Widened(no) > 0; widened != c.widened[no] {
 				c.widened[no] = widened
 				c.host.Logger().Info("coordination: subset width changed", "group", no, "wider", widened, "no_primary_known", need == subset.NeedPrimary, "none_fresh", need == subset.NeedFresh)
--- a/gateway/coordination.go
+++ b/gateway/coordination.go
@@ -120,6 +120,9 @@
 	return group, primaryKnown, replicas, unproven
 }
 
+// SeekPrimary has the decision module look for the primary of a group.
+func (x *coordinator) SeekPrimary(group int) { x.g.module.SeekPrimary(group) }
+
 // ReceiveReport passes another gateway's report to the decision module as a hint.
 func (x *coordinator) ReceiveReport(item signals.Item, unhealthy bool) {
 	if item.Member == fleet.ListKey {
--- a/rehearse/some.go
+++ b/rehearse/some.go
@@ -251,7 +251,9 @@
 	}
 	x.module.Clock(w.Now)
 	for no := range w.groups {
-		x.module.Observe(no, known[no], replicas[no], needPosition[no])
+		if x.module.Observe(no, known[no], replicas[no], needPosition[no]) == subset.NeedPrimary {
+			x.gateway.module.SeekPrimary(w.groups[no].index)
+		}
 	}
 	if moved {
 		x.updateDivision()
