Fences ask the members of each group in turn, by the decision module's own count

Cause: the host counted failed searches over all groups, and the module took the remainder for a group's turn: two groups of two members that search in turn ask one member of each alone, which may hang. A search begun beside another had its number too. The simulation had a copy of the count.

Change: PositionSource returns the member of the group that it returned longest ago; the hosts' counters are gone.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -825,26 +825,28 @@
 }
 
 // PositionSource is the member to ask for the position of a group's log: its primary, or, while no
-// responsive primary is known, its members in turn, as with a write. Excluded members are not asked.
-func (g *Gateway) PositionSource(groupID, turn int) (server Server, isPrimary, ok bool) {
-	var candidates []*member
-	for _, grp := range g.groups {
-		if grp.id != groupID {
-			continue
-		}
-		if p := g.primaryOf(grp); p != nil && !p.suspect {
-			return p.id, true, true
-		}
-		for _, m := range grp.members {
-			if !m.excluded && g.withinColdBudget(m) {
-				candidates = append(candidates, m)
-			}
+// responsive primary is known, the one of its members that was returned longest ago. Excluded members are not asked.
+func (g *Gateway) PositionSource(groupID int) (server Server, isPrimary, ok bool) {
+	i := slices.IndexFunc(g.groups, func(grp *group) bool { return grp.id == groupID })
+	if i < 0 {
+		return Server{}, false, false
+	}
+	grp := g.groups[i]
+	if p := g.primaryOf(grp); p != nil && !p.suspect {
+		return p.id, true, true
+	}
+	var source *member
+	for _, m := range grp.members {
+		if !m.excluded && g.withinColdBudget(m) && (source == nil || m.sourceNo < source.sourceNo) {
+			source = m
 		}
 	}
-	if len(candidates) == 0 {
+	if source == nil {
 		return Server{}, false, false
 	}
-	return candidates[turn%len(candidates)].id, false, true
+	grp.lastSourceNo++
+	source.sourceNo = grp.lastSourceNo
+	return source.id, false, true
 }
 
 // chooseMember chooses a member for a txn by the numbered steps of the design, or nil while the txn must wait.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -348,6 +348,33 @@
 	//  10210 submit 5 to b
 }
 
+// While no primary is known the members of each group are asked for their position in turn, however many groups ask by turns and
+// whichever members come and go: a member that hangs is never the only one that is asked.
+func Example_positionSource() {
+	t := open()
+	for _, m := range []string{"0a", "0b", "1c", "1d"} {
+		t.g.UpdateMember(Server{m[1]}, int(m[0]-'0'), false, Ready, 0, 1, 0, 0)
+	}
+	t.g.EndMemberList(FullList)
+	ask := func(groups ...int) {
+		var asked []string
+		for _, group := range groups {
+			server, _, _ := t.g.PositionSource(group)
+			asked = append(asked, string(server[0]))
+		}
+		fmt.Println(asked)
+	}
+	ask(0, 1, 0, 1, 0, 1)
+	t.g.UpdateMember(Server{'e'}, 0, false, Ready, 0, 1, 0, 0)
+	ask(0, 0, 0, 0)
+	_, _, ok := t.g.PositionSource(2)
+	fmt.Println(ok)
+	// Output:
+	// [a c b d a c]
+	// [e b a e]
+	// false
+}
+
 // Where nothing but reads that any member may answer arrives, no primary becomes known by them. A host that needs one has all
 // members probed, at growing intervals, until one of them tells that it is the primary.
 func Example_seekPrimary() {
--- a/decide/state.go
+++ b/decide/state.go
@@ -65,11 +65,12 @@
 	ready, drained, excluded     bool // excluded: it drains or was removed
 	removed                      bool // by the list
 	startedAt                    Nanos
-	position, lastLag            Nanos // proven position; lag when last known
-	lagSeenAt, positionSeenAt    Nanos // when the lag and the position were learned
-	sharedPosition               Nanos // position that all gateways know
-	updatePending                bool  // in Gateway.pendingUpdates
-	unprovenAt, queriedAt        Nanos // when a read last skipped it for lack of proof; when it was last queried
+	position, lastLag            Nanos  // proven position; lag when last known
+	lagSeenAt, positionSeenAt    Nanos  // when the lag and the position were learned
+	sharedPosition               Nanos  // position that all gateways know
+	updatePending                bool   // in Gateway.pendingUpdates
+	unprovenAt, queriedAt        Nanos  // when a read last skipped it for lack of proof; when it was last queried
+	sourceNo                     uint64 // when PositionSource returned it last, as a number of its group; 0 for never
 	role                         Role
 	roleAt                       Nanos   // when an answer last reported the role
 	roleRelayed                  bool    // another gateway reported the role, not the member itself
@@ -116,6 +117,7 @@
 	clockLead     Nanos                     // how far the clock of its servers is ahead of this gateway's, as estimated
 	nextSeekAt    Nanos                     // no search for the primary by probes before
 	seekPause     Nanos                     // mean time between such searches, 0 since a primary has been known
+	lastSourceNo  uint64                    // of the latest member that PositionSource returned as no primary was known
 }
 
 // submission is one attempt of a txn at a member.
--- a/fleet/sessions.go
+++ b/fleet/sessions.go
@@ -22,8 +22,8 @@
 	Serve(readID uint64, minPosition session.Position) // routes a read to a member that has reached minPosition; 0 for any
 	Refuse(readID uint64, retryAfter int64)            // rejects a read of which nothing was sent
 	// Fence routes the read of a decision to the primary of its group, whose answer completes the fence request. While no
-	// primary is known it queries a member that may be one: the members in turn, by the number of the attempt.
-	Fence(d *session.Decision, attempt int, timeout int64) FenceRoute
+	// primary is known it queries a member that may be one: the members in turn.
+	Fence(d *session.Decision, timeout int64) FenceRoute
 	ReceivePositions(entries []peerwire.Entry) // of members, reported by another gateway
 
 	IsWaiting(answer slots.Ref) bool                    // whether the answer still waits for its change to be written
@@ -44,15 +44,14 @@
 // Sessions hosts the session module: it passes reads, commits, fences and messages of other gateways to it, and carries out
 // its decisions. It must be used from the event loop only.
 type Sessions struct {
-	Config        *SessionConfig
-	Module        *session.Sessions
-	host          SessionHost
-	peers         *Peers // nil if there are no other gateways
-	tokens        *peerwire.Codec
-	ledger        *ledgerWriter // nil without a ledger
-	fleet         *Fleet        // provides the list of gateways and the lease; nil if the list is static
-	fenceAttempts int           // failed fences; selects the member to query while no primary is known
-	startedAt     time.Time
+	Config    *SessionConfig
+	Module    *session.Sessions
+	host      SessionHost
+	peers     *Peers // nil if there are no other gateways
+	tokens    *peerwire.Codec
+	ledger    *ledgerWriter // nil without a ledger
+	fleet     *Fleet        // provides the list of gateways and the lease; nil if the list is static
+	startedAt time.Time
 }
 
 // NewSessions creates the module; Open opens the ledger and the peers. startedAt must differ at each start: it is the epoch
@@ -195,7 +194,6 @@
 // FenceFailed handles the end of a fence that no primary answered, and the position that a member told instead, 0 for
 // none.
 func (s *Sessions) FenceFailed(group int, requestID uint64, position session.Position) {
-	s.fenceAttempts++
 	if position > 0 {
 		s.Module.RecordMemberPosition(group, position)
 	}
@@ -222,7 +220,7 @@
 		case session.Refuse:
 			s.host.Refuse(d.ReadID, d.Delay)
 		case session.Fence:
-			switch s.host.Fence(&d, s.fenceAttempts, s.Config.Session.FenceTimeout) {
+			switch s.host.Fence(&d, s.Config.Session.FenceTimeout) {
 			case FenceNotSent:
 				s.Module.FenceFailed(d.Group, d.RequestID)
 			case FenceAtPrimary:
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -173,9 +173,9 @@
 }
 
 // Fence routes a read to the primary of its group, or queries a member that may be the primary.
-func (x sessionHost) Fence(d *session.Decision, attempt int, timeout int64) fleet.FenceRoute {
+func (x sessionHost) Fence(d *session.Decision, timeout int64) fleet.FenceRoute {
 	g := x.g
-	server, isPrimary, ok := g.module.PositionSource(d.Group, attempt)
+	server, isPrimary, ok := g.module.PositionSource(d.Group)
 	if !ok {
 		return fleet.FenceNotSent
 	}
--- a/rehearse/covered.go
+++ b/rehearse/covered.go
@@ -14,10 +14,9 @@
 
 // sessionHost hosts the session module of a gateway.
 type sessionHost struct {
-	gateway     *simGateway
-	module      *session.Sessions
-	fenceSource int
-	busy        bool
+	gateway *simGateway
+	module  *session.Sessions
+	busy    bool
 }
 
 // newSessionHost returns nil where clients carry their positions.
@@ -101,7 +100,7 @@
 // fence routes the read of a fence to its group's primary, or queries a member that may be the primary.
 func (h *sessionHost) fence(d *session.Decision) {
 	n, run := h.gateway, h.gateway.incarnation
-	server, isPrimary, ok := n.module.PositionSource(d.Group, h.fenceSource)
+	server, isPrimary, ok := n.module.PositionSource(d.Group)
 	t := n.open[d.ReadID]
 	if !ok || t == nil {
 		h.module.FenceFailed(d.Group, d.RequestID)
@@ -119,7 +118,6 @@
 			return
 		}
 		ended = true
-		h.fenceSource++
 		h.step(func() {
 			if len(report) > 1 { // it may be older than the query: it bounds no read
 				h.module.RecordMemberPosition(d.Group, session.Position(report[0]*1e9))
