--- a/gateway/clientpace.go
+++ b/gateway/clientpace.go
@@ -13,6 +13,14 @@
 	pausePerClient    = 1 * decide.Millisecond // of a client with more queries, for each client that pauses
 )
 
+// pauseReason is what a client that has to wait for other clients had sent much of.
+type pauseReason string
+
+const (
+	pausedForQueries         pauseReason = "queries"
+	pausedForControlMessages pauseReason = "control messages"
+)
+
 // mayProcess reports whether another query of a client may be processed now. If not, the client pauses and is read again
 // after that.
 func (cs *clients) mayProcess(ref slots.Ref, c *client) bool {
@@ -23,7 +31,7 @@
 	if c.turnQueries++; c.turnQueries <= maxQueriesPerTurn {
 		return true
 	}
-	cs.g.outcomes.clientPauses++
+	cs.g.outcomes.clientPauses[pausedForQueries]++
 	cs.enterStage(ref, c, stagePaused)
 	return false
 }
--- a/gateway/controlmessages.go
+++ b/gateway/controlmessages.go
@@ -52,6 +52,7 @@
 	if c.turnControlBytes < maxControlBytesPerTurn {
 		return true
 	}
+	cs.g.outcomes.clientPauses[pausedForControlMessages]++
 	cs.endStage(c)
 	cs.enterStage(ref, c, stageUnreadOutput)
 	cs.pollIn(ref, c, pausePerClient)
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -55,7 +55,7 @@
 	readsWithheld  uint64
 	queriesDropped uint64
 	stalls         uint64
-	clientPauses   uint64
+	clientPauses   map[pauseReason]uint64
 }
 
 func newOutcomes() outcomes {
@@ -66,6 +66,7 @@
 		readsSent:     map[decide.Proof]uint64{},
 		acceptErrors:  map[string]uint64{},
 		dialErrors:    map[string]uint64{},
+		clientPauses:  map[pauseReason]uint64{},
 	}
 }
 
@@ -77,7 +78,7 @@
 	ReadsSent      map[string]uint64 // reads that were to be sent to members, by what proved their data fresh enough
 	ReadsWithheld  uint64            // of those, such whose proof had aged when they were to be written
 	QueriesDropped uint64            // queries rejected unread, as there was no memory for them
-	ClientPauses   uint64            // times that a client with many queries was made to wait for other clients
+	ClientPauses   map[string]uint64 // times that a client was made to wait for other clients, by what it had sent much of
 	Stalls         uint64            // times for which the event loop read nothing although a deadline had passed
 	AcceptErrors   map[string]uint64 // failed accepts of client connections, by error
 	DialErrors     map[string]uint64 // failed connects to members and discovery, by error
@@ -92,13 +93,13 @@
 		ReadsWithheld:  o.readsWithheld,
 		QueriesDropped: o.queriesDropped,
 		Stalls:         o.stalls,
-		ClientPauses:   o.clientPauses,
+		ClientPauses:   countsByReason(o.clientPauses),
 		AcceptErrors:   maps.Clone(o.acceptErrors),
 		DialErrors:     maps.Clone(o.dialErrors),
 	}
 }
 
-func countsByReason(counts map[closeReason]uint64) map[string]uint64 {
+func countsByReason[R ~string](counts map[R]uint64) map[string]uint64 {
 	out := make(map[string]uint64, len(counts))
 	for reason, n := range counts {
 		out[string(reason)] = n
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -55,8 +55,6 @@
 		func(x *gateway.Stats) int { return int(x.Outcomes.ReadsWithheld) })
 	counter("queries_dropped_total", "Queries that were rejected unread, as there was no memory for them.",
 		func(x *gateway.Stats) int { return int(x.Outcomes.QueriesDropped) })
-	counter("client_pauses_total", "Times that a client that had sent many queries at once was made to wait for other clients.",
-		func(x *gateway.Stats) int { return int(x.Outcomes.ClientPauses) })
 	counter("loop_stalls_total", "Times for which the event loop read nothing although a deadline had passed.",
 		func(x *gateway.Stats) int { return int(x.Outcomes.Stalls) })
 	gauge := func(name, help string, value func(*gateway.Stats) float64) {
@@ -102,6 +100,8 @@
 		func(x *gateway.Outcomes) map[string]uint64 { return x.ClientsClosed })
 	countByLabel("requests_unanswered_total", "Requests without a final answer, by why their connection was closed.", "reason",
 		func(x *gateway.Outcomes) map[string]uint64 { return x.Unanswered })
+	countByLabel("client_pauses_total", "Times that a client was made to wait for other clients, by what it had sent much of.", "reason",
+		func(x *gateway.Outcomes) map[string]uint64 { return x.ClientPauses })
 	countByLabel("attempts_total", "Attempts at members, by how they ended.", "result",
 		func(x *gateway.Outcomes) map[string]uint64 { return x.Attempts })
 	countByLabel("reads_sent_total", "Reads for members, by what proved that the member's data is fresh enough.", "proof",
