decide/decide.go in six files by job; no declaration changes

Change: queue.go, choose.go, health.go, limits.go and probes.go take over their functions and constants, told.go those of position updates.

Measured: the sorted lines of the files before and after differ in package clauses, imports, const blocks and the files' comments alone.

--- a/decide/told.go
+++ b/decide/told.go
@@ -4,6 +4,14 @@
 // the member list and answers. Positions and primaries are what members told the other gateways, and count like
 // words of theirs that are as old; the rest is a hint. What a member told this gateway takes precedence.
 
+// Times are in nanoseconds.
+const (
+	// Position updates to other gateways.
+	updateInterval         = 100 * ms // a position is sent when it is this far ahead of what all gateways know
+	updateStalenessDivisor = 3        // or ahead by 1/3 of a staleness bound, so that it still proves the bound on arrival
+	updatesPerTxn          = 15.0     // messages that all gateways together may receive per txn
+)
+
 // MemberState is what this gateway itself has observed of a member.
 type MemberState struct {
 	Known, Suspect, Cold bool
@@ -115,3 +123,22 @@
 		g.markUnproven(grp, nil, grp.groupTime(g.now)+1)
 	}
 }
+
+// queueUpdate queues a member's position for the other gateways, unless they know nearly as much. All
+// gateways need proof about the same members, and each one alone contacts a given member only once in many
+// seconds.
+func (g *Gateway) queueUpdate(m *member) {
+	interval := Nanos(updateInterval)
+	for i, consistency := range g.settings.Replication.Consistency {
+		if consistency == "lag_bound" {
+			interval = min(interval, g.settings.Replication.MaxStaleness[i]/updateStalenessDivisor)
+		}
+	}
+	// The number of updates grows with members and gateways, but the message budget grows with txns: a
+	// larger fleet sends updates less often.
+	rate := g.arrivals.rate(g.now, g.startedAt, classDecay) * updatesPerTxn / float64(max(1, len(g.members)))
+	interval = max(interval, Nanos(1/max(rate, 1e-12)))
+	if g.settings.Limits.Peers && !m.updatePending && m.position-m.sharedPosition > interval {
+		m.updatePending, g.pendingUpdates = true, append(g.pendingUpdates, m)
+	}
+}
