--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -32,6 +32,7 @@
 	begunAt     decide.Nanos
 	startedAt   decide.Nanos // later than begunAt if the time limit has been started again
 	stalledFrom decide.Nanos // what the loop finds unread arrived no earlier
+	hasRead     bool         // the loop has come to reading since the recovery began
 	events      int          // connections opened, read and closed since the last round
 	quietRounds int          // rounds in a row without any
 	restarts    int          // by stalls during the recovery
@@ -64,8 +65,8 @@
 	now := g.clock.now()
 	switch {
 	case r.events > 0:
-		r.quietRounds = 0
-	case g.hasUnreadInput():
+		r.quietRounds, r.hasRead = 0, true
+	case !r.hasRead && g.hasUnreadInput():
 		r.quietRounds = 0
 		if now-r.begunAt < maxUnreadTime {
 			r.startedAt = now
