Compare a commit's position with the present, not with the last round's time

Callers saw: on a gateway with little else to do, session reads after a write that took longer than 5 ms went to the primary, and were refused while it hung.

Cause: answers are recorded when they are read, before the next round begins, and CanPlacePosition compared their position with the time of the last round. A position read over 5 ms later counted as ahead of the clock and was dropped, which is a loss that fences the group.

Change: CanPlacePosition is told the present.

--- a/decide/groupclock.go
+++ b/decide/groupclock.go
@@ -13,9 +13,10 @@
 // groupTime is what the clock of a group's servers showed at a time of this gateway's clock, as estimated.
 func (grp *group) groupTime(at Nanos) Nanos { return at + grp.clockLead }
 
-// CanPlacePosition reports whether a position of a group is not ahead of the group's clock, as estimated.
-func (g *Gateway) CanPlacePosition(groupID int, at Nanos) bool {
-	return at <= g.groupOf(groupID).groupTime(g.now)+g.maxPositionLead()
+// CanPlacePosition reports whether a position of a group is not ahead of the group's clock, as estimated for the present. It is
+// asked outside of rounds too, whose time may be long past.
+func (g *Gateway) CanPlacePosition(groupID int, position, now Nanos) bool {
+	return position <= g.groupOf(groupID).groupTime(now)+g.maxPositionLead()
 }
 
 func (g *Gateway) maxPositionLead() Nanos { return maxPositionLead + g.settings.Replication.ClockError }
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -406,7 +406,7 @@
 // groupPosition converts a position to the gateway's clock; ok is false if it is missing, or ahead of its group's clock.
 func (ms *members) groupPosition(group int, unixMs float64) (at decide.Nanos, ok bool) {
 	at = ms.g.clock.fromUnixMs(unixMs)
-	if unixMs <= 0 || !ms.g.module.CanPlacePosition(group, at) {
+	if unixMs <= 0 || !ms.g.module.CanPlacePosition(group, at, ms.g.clock.now()) {
 		return 0, false
 	}
 	return at, true
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -96,7 +96,7 @@
 			reported = max(reported, decide.Millis(x*1000))
 		}
 	}
-	if !g.module.CanPlacePosition(in.group, reported) {
+	if !g.module.CanPlacePosition(in.group, reported, g.clock.now()) {
 		reported = 0
 	}
 	g.fenceFailed(in.group, in.fenceAttempt, reported)
--- a/gateway/txns.go
+++ b/gateway/txns.go
@@ -368,7 +368,7 @@
 	t.inFlight--
 	t.mayHaveRun = t.mayHaveRun || mayHaveRun(in.result)
 	g.outcomes.attempts[in.result]++
-	isPlaced := in.position > 0 && g.module.CanPlacePosition(t.comment.Group, in.position)
+	isPlaced := in.position > 0 && g.module.CanPlacePosition(t.comment.Group, in.position, g.clock.now())
 	g.module.SubmissionEnded(t.id, in.attempt, in.server, in.result, in.elapsed, in.role, in.position,
 		t.answered, in.report)
 	if t.fenceRequest != 0 && isPlaced { // the group's log has reached it, whoever is its primary
