Count only what is read as reading in the recovery from a stall

Cause: the recovery's note that the loop has read was also set by connections that a task opens or closes, and a further stall during the recovery did not reset it. Both left the fault that narrowed: the recovery may end before anything was read.

Change: readConn sets it, and a restart of the recovery clears it.

Measured: two cases more in TestRecoveryEndsOnceTheLoopHasRead.

--- a/gateway/arrivals_test.go
+++ b/gateway/arrivals_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/panjf2000/gnet/v2"
+
 	"magpieglade/decide"
 	"magpieglade/internal/pgwire"
 )
@@ -78,30 +80,58 @@
 	t.Parallel()
 	const wait, stall = 9000 * decide.Millisecond, 600 * time.Millisecond
 	const tasks, taskTime = 8, 2 * recoveryRound
-	d, m := newScriptedServer(t), newScriptedServer(t)
-	g, ended, stop := startTestGateway(t, d, m.listEntry("m", "active"))
-	c := connectClient(t, g)
-	var sentAt decide.Nanos
-	g.runOnLoop(func() {
-		sentAt = g.clock.now()
-		c.sendTxn("any", int(wait/decide.Millisecond))
-		<-time.After(stall)
-		left := tasks
-		var runTask func()
-		runTask = func() {
-			<-time.After(time.Duration(taskTime)) // the next round of the recovery is a task of the loop by then
-			if left--; left > 0 {
+	for _, test := range []struct {
+		name        string
+		beforeStall func(g *Gateway, other gnet.Conn) // in a task of the loop
+		firstTask   func(g *Gateway, other gnet.Conn)
+	}{
+		{"tasks without events", nil, nil},
+		{"a task closes a connection", nil, func(g *Gateway, other gnet.Conn) { _ = other.Close() }},
+		{"the stall follows another whose recovery has read", func(g *Gateway, other gnet.Conn) {
+			<-time.After(stall)
+			g.checkForStall()
+			g.OnTraffic(other)
+			g.continueRecovery()
+		}, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			d, m := newScriptedServer(t), newScriptedServer(t)
+			g, ended, stop := startTestGateway(t, d, m.listEntry("m", "active"))
+			otherClient := connectClient(t, g)
+			defer otherClient.Close()
+			var other gnet.Conn
+			g.runOnLoop(func() { other = g.clients.conns.Get(g.clients.conns.Refs()[0]).conn })
+			c := connectClient(t, g)
+			var sentAt decide.Nanos
+			g.runOnLoop(func() {
+				if test.beforeStall != nil {
+					test.beforeStall(g, other)
+				}
+				sentAt = g.clock.now()
+				c.sendTxn("any", int(wait/decide.Millisecond))
+				<-time.After(stall)
+				left := tasks
+				var runTask func()
+				runTask = func() {
+					if left == tasks && test.firstTask != nil {
+						test.firstTask(g, other)
+					}
+					<-time.After(time.Duration(taskTime)) // the next round of the recovery is a task of the loop by then
+					if left--; left > 0 {
+						g.post(runTask)
+					}
+				}
 				g.post(runTask)
+			})
+			m.acceptConnection(t)
+			if over := g.jobDeadline(t) - (sentAt + wait); over > deadlineSlack || over < -deadlineSlack {
+				t.Errorf("the member is told %d ms more than is left to the client", over/decide.Millisecond)
 			}
-		}
-		g.post(runTask)
-	})
-	m.acceptConnection(t)
-	if over := g.jobDeadline(t) - (sentAt + wait); over > deadlineSlack || over < -deadlineSlack {
-		t.Errorf("the member is told %d ms more than is left to the client", over/decide.Millisecond)
+			stop()
+			<-ended
+		})
 	}
-	stop()
-	<-ended
 }
 
 // TestQueryThatCameDuringAStallKeepsItsTime guards against queries that count as old as the stall in which they came: one that
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -355,6 +355,7 @@
 // readConn passes received data to the owner of the connection.
 func (g *Gateway) readConn(c gnet.Conn, o *owner) {
 	g.recovery.events++
+	g.recovery.hasRead = true
 	switch o.kind {
 	case ownerClient:
 		g.clients.dateInput(o)
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -32,7 +32,7 @@
 	begunAt     decide.Nanos
 	startedAt   decide.Nanos // later than begunAt if the time limit has been started again
 	stalledFrom decide.Nanos // what the loop finds unread arrived no earlier
-	hasRead     bool         // the loop has come to reading since the recovery began
+	hasRead     bool         // the loop has read from a connection since the stall; tasks open and close some too
 	events      int          // connections opened, read and closed since the last round
 	quietRounds int          // rounds in a row without any
 	restarts    int          // by stalls during the recovery
@@ -48,7 +48,7 @@
 	}
 	if r := &g.recovery; r.active {
 		if r.restarts++; r.restarts <= maxRestarts {
-			r.startedAt, r.events, r.quietRounds = now, 0, 0
+			r.startedAt, r.events, r.quietRounds, r.hasRead = now, 0, 0, false
 			g.setTimerTo(int64(now + recoveryRound))
 		}
 		return
@@ -65,7 +65,7 @@
 	now := g.clock.now()
 	switch {
 	case r.events > 0:
-		r.quietRounds, r.hasRead = 0, true
+		r.quietRounds = 0
 	case !r.hasRead && g.hasUnreadInput():
 		r.quietRounds = 0
 		if now-r.begunAt < maxUnreadTime {
