Date what the session module records of an answer by the present

Cause: RecordCommit, FenceCompleted and FenceFailed are called when an answer is read, before the next round, and did not pass the time to the module, as UpdateClock's comment promises. The duration of a fence was measured up to the last round, so a slow primary was asked again too soon.

Change: they call UpdateClock.

--- a/fleet/sessions.go
+++ b/fleet/sessions.go
@@ -121,7 +121,8 @@
 	}
 }
 
-// UpdateClock passes the current time to the module; it is called before each input.
+// UpdateClock passes the current time to the module. It precedes each input: what arrives is recorded when it is read, which may
+// be long after the last round.
 func (s *Sessions) UpdateClock() { s.Module.SetTime(s.host.Now()) }
 
 // HasPeers reports whether messages are exchanged with other gateways.
@@ -170,6 +171,7 @@
 	if sessionKey == 0 {
 		return nil
 	}
+	s.UpdateClock()
 	s.Module.RecordCommit(group, sessionKey, position)
 	if s.Config.Tokens != TokensSigned || position == 0 {
 		return nil
@@ -188,12 +190,14 @@
 
 // FenceCompleted handles the answer of a primary to the read of a fence: the position that it told, 0 for none.
 func (s *Sessions) FenceCompleted(group int, requestID uint64, position session.Position) {
+	s.UpdateClock()
 	s.Module.FenceCompleted(group, requestID, position)
 }
 
 // FenceFailed handles the end of a fence that no primary answered, and the position that a member told instead, 0 for
 // none.
 func (s *Sessions) FenceFailed(group int, requestID uint64, position session.Position) {
+	s.UpdateClock()
 	if position > 0 {
 		s.Module.RecordMemberPosition(group, position)
 	}
