Read a response that has arrived before its attempt is cancelled

Callers saw: beside load, a read that its member had answered at once was refused, and a once-only write that had committed was told 40000.

Cause: a gateway that was held up for some milliseconds takes the member for silent, as nothing was read of it meanwhile, and cancels its attempts. The connection was closed at once, with the response unread in the socket. An attempt whose time is up ends by the same way.

Change: cancelJob looks at the connection. What has arrived is read first; if it is no complete response, the attempt is cancelled then.

--- a/gateway/members.go
+++ b/gateway/members.go
@@ -55,6 +55,8 @@
 	hasJob          bool
 	protocolError   bool         // sent something invalid: nothing that it sent is trusted
 	lastPartAt      decide.Nanos // when the latest part of an incomplete response arrived, 0 for none
+	cancelled       bool         // its job ends with cancelResult, unless the response that has arrived is complete
+	cancelResult    decide.Result
 	bytesNeeded     int          // bytes that the buffer must hold for the current message to be complete
 	bufferedBytes   int          // bytes of an incomplete response in the buffer
 	sent            bool         // the query was written, though some of it may wait in the outbound buffer
@@ -185,7 +187,7 @@
 		ms.returnToPool(ref)
 		return
 	}
-	m.phase, m.lastPartAt, m.bytesNeeded = busy, 0, 0
+	m.phase, m.lastPartAt, m.bytesNeeded, m.cancelled = busy, 0, 0, false
 	m.response = response{ranges: m.response.ranges[:0]}
 	var parts [][]byte
 	if m.job.probe {
@@ -282,9 +284,13 @@
 }
 
 // cancelJob ends a connection's job. If the query was sent, the connection is closed; if not, the connection is left to be
-// established and used by another job.
+// established and used by another job. A job whose response has arrived unread is cancelled only if that is incomplete.
 func (ms *members) cancelJob(ref slots.Ref, r decide.Result) {
 	m := ms.conns.Get(ref)
+	if m.phase == busy && hasUnread(m.conn.Fd()) {
+		m.cancelled, m.cancelResult = true, r
+		return
+	}
 	if m.phase != busy {
 		r = decide.NotSent // it was never written: the member did not time out, and nothing ran
 	}
@@ -508,6 +514,10 @@
 	if buffered == 0 || m.phase != busy || !m.hasJob {
 		return
 	}
+	if m.cancelled {
+		ms.cancelJob(ref, m.cancelResult)
+		return
+	}
 	if ms.bufferedBytes > ms.g.config.Limits.MemoryMB<<20/bufferMemoryDivisor {
 		ms.rejectResponse(ref)
 		return
