Run connections on an event loop of our own, whose reading can be stopped

It also closed connections on EINTR and wrote what was left of a query after it had told of the end.

Change: internal/eventloop, one level-triggered epoll instance: a poll, one read from each connection that has input, then the tasks posted until then. The recovery from stalls loses its own look at unread input.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -62,7 +62,7 @@
 			if waited > 0 {
 				o.connectedAfter = g.clock.now() - decide.Nanos(waited)
 			}
-			return g.enroll(c, o)
+			return g.loop.Enroll(c, o)
 		},
 		onFailure: func(err error, first bool) {
 			g.post(func() { g.outcomes.acceptErrors[neterr.Label(err)]++ })
--- a/gateway/arrivals_test.go
+++ b/gateway/arrivals_test.go
@@ -8,9 +8,8 @@
 	"testing"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
-
 	"magpieglade/decide"
+	"magpieglade/internal/eventloop"
 	"magpieglade/internal/pgwire"
 )
 
@@ -82,15 +81,15 @@
 	const tasks, taskTime = 8, 2 * recoveryRound
 	for _, test := range []struct {
 		name        string
-		beforeStall func(g *Gateway, other gnet.Conn) // in a task of the loop
-		firstTask   func(g *Gateway, other gnet.Conn)
+		beforeStall func(g *Gateway, other *eventloop.Conn) // in a task of the loop
+		firstTask   func(g *Gateway, other *eventloop.Conn)
 	}{
 		{"tasks without events", nil, nil},
-		{"a task closes a connection", nil, func(g *Gateway, other gnet.Conn) { _ = other.Close() }},
-		{"the stall follows another whose recovery has read", func(g *Gateway, other gnet.Conn) {
+		{"a task closes a connection", nil, func(g *Gateway, other *eventloop.Conn) { other.CloseSoon() }},
+		{"the stall follows another whose recovery has read", func(g *Gateway, other *eventloop.Conn) {
 			<-time.After(stall)
 			g.checkForStall()
-			g.OnTraffic(other)
+			g.Received(other)
 			g.continueRecovery()
 		}, nil},
 	} {
@@ -100,7 +99,7 @@
 			g, ended, stop := startTestGateway(t, d, m.listEntry("m", "active"))
 			otherClient := connectClient(t, g)
 			defer otherClient.Close()
-			var other gnet.Conn
+			var other *eventloop.Conn
 			g.runOnLoop(func() { other = g.clients.conns.Get(g.clients.conns.Refs()[0]).conn })
 			c := connectClient(t, g)
 			var sentAt decide.Nanos
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -1,7 +1,7 @@
 package gateway
 
 // reservedDescriptors are kept free for everything other than connections: the standard files, the listener, the pollers
-// of gnet and of the runtime, an accepted connection that is rejected, and short-lived duplicates.
+// of the event loop and of the runtime, an accepted connection that is rejected, and short-lived duplicates.
 const reservedDescriptors = 32
 
 // descriptorBudget counts the file descriptors that connections may still use. The code that acquires descriptors owns
--- a/gateway/clientinput.go
+++ b/gateway/clientinput.go
@@ -102,7 +102,7 @@
 	}
 	c.dropped = &droppedInput{kept: slices.Clone(input[:size])}
 	if size > 0 { // a discard of 0 bytes discards all
-		_, _ = c.conn.Discard(size)
+		c.conn.Discard(size)
 	}
 	for i := range c.arrivals {
 		c.arrivals[i].upTo = min(c.arrivals[i].upTo, c.consumedBytes+int64(size))
@@ -140,7 +140,7 @@
 			c.fatalError = &fatalError{"08P01", "too much sent ahead"}
 		}
 	}
-	_, _ = c.conn.Discard(len(arrived))
+	c.conn.Discard(len(arrived))
 }
 
 // answerDropped answers the dropped messages of a client that has its responses to all that came before them. It returns
@@ -205,7 +205,7 @@
 	if c.dropped != nil {
 		c.dropped.kept = c.dropped.kept[size:]
 	} else {
-		_, _ = c.conn.Discard(size)
+		c.conn.Discard(size)
 	}
 	c.consumedBytes += int64(size)
 	consumed := 0
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -7,11 +7,11 @@
 	"crypto/subtle"
 	"encoding/binary"
 
-	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
 	"magpieglade/decide"
 	"magpieglade/internal/deadlines"
+	"magpieglade/internal/eventloop"
 	"magpieglade/internal/pgwire"
 	"magpieglade/internal/slots"
 )
@@ -76,7 +76,7 @@
 
 // client is a connection from a client. Only the event loop may use it; clientClosed releases it.
 type client struct {
-	conn                   gnet.Conn
+	conn                   *eventloop.Conn
 	stage                  stage
 	stageSince             decide.Nanos                 // when the stage began
 	deadline               *deadlines.Entry[timerEvent] // when the stage times out
@@ -110,7 +110,7 @@
 	closeReason            closeReason   // why the gateway closes the connection, empty while it stays open
 }
 
-func (cs *clients) clientOpened(c gnet.Conn, o *owner) ([]byte, gnet.Action) {
+func (cs *clients) clientOpened(c *eventloop.Conn, o *owner) (keep bool) {
 	reserved := cs.g.budget.total / memberDescriptorDivisor
 	cs.freeDescriptors(reserved+(cs.g.budget.total-reserved)/spareDescriptorDivisor, minIdleTime)
 	cs.freeDescriptors(reserved+1, minSilentTime) // a new client has a query to send
@@ -122,7 +122,7 @@
 		cs.setAtCapacity(true)
 		if cs.rejecting >= maxRejectedClients { // an error that a reset cuts off would be worse than none
 			cs.g.outcomes.clientsClosed[closedNoDescriptor]++
-			return nil, gnet.Close
+			return false
 		}
 		cs.rejecting++
 	}
@@ -130,7 +130,7 @@
 	o.ref = cs.conns.Add(client{conn: c, hasDescriptor: counted, openedAt: now})
 	o.hasDescriptor = counted
 	cs.enterStage(o.ref, cs.conns.Get(o.ref), stageConnected)
-	return nil, gnet.None
+	return true
 }
 
 // enterStage moves a client to a stage, sets its deadline and puts it on the idle list that applies.
@@ -219,7 +219,7 @@
 // close closes a connection immediately; the first reason given is kept.
 func (cs *clients) close(c *client, reason closeReason) {
 	c.closeReason = cmp.Or(c.closeReason, reason)
-	_ = cs.g.loop.Close(c.conn)
+	c.conn.Close()
 }
 
 // clientClosed is the one place where a client is released. Its open txn is withdrawn.
@@ -387,10 +387,9 @@
 
 // discardInput reads and discards what a client in stageClosing sends; one that sends too much is closed.
 func (cs *clients) discardInput(c *client) {
-	n, _ := c.conn.Discard(-1)
-	if c.discardedBytes += n; c.discardedBytes > maxDiscardedBytes && c.deadline != nil {
+	if c.discardedBytes += c.conn.Discard(-1); c.discardedBytes > maxDiscardedBytes && c.deadline != nil {
 		cs.leaveStage(c)
-		_ = c.conn.Close()
+		c.conn.CloseSoon()
 	}
 }
 
--- a/gateway/dial.go
+++ b/gateway/dial.go
@@ -37,7 +37,7 @@
 	for {
 		c, err := g.network.Dial(address, max(time.Until(deadline), time.Millisecond))
 		if err == nil {
-			err = g.enroll(c, o)
+			err = g.loop.Enroll(c, o)
 		}
 		if err == nil || !neterr.IsLocal(err) {
 			return err
--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -6,11 +6,10 @@
 	"net/netip"
 	"slices"
 
-	"github.com/panjf2000/gnet/v2"
-
 	"magpieglade/decide"
 	"magpieglade/fleet"
 	"magpieglade/internal/deadlines"
+	"magpieglade/internal/eventloop"
 	"magpieglade/internal/httpwire"
 )
 
@@ -53,7 +52,7 @@
 // call is a connection to discovery and its request. closeCall releases it.
 type call struct {
 	kind             callKind
-	conn             gnet.Conn
+	conn             *eventloop.Conn
 	connNo           uint64 // number of the connection; late events of a previous one carry another
 	dialing          bool
 	awaitingResponse bool
@@ -61,8 +60,8 @@
 	waitMs           int   // how long discovery may delay the response
 	graceUsed        bool  // the call has timed out and unread data is still being read
 	timeout          *deadlines.Entry[timerEvent]
-	lastFailure      string    // reason, to log each only once in a row
-	lateConn         gnet.Conn // of the previous call, which timed out: a response on it is still used
+	lastFailure      string          // reason, to log each only once in a row
+	lateConn         *eventloop.Conn // of the previous call, which timed out: a response on it is still used
 	lateConnNo       uint64
 }
 
@@ -132,21 +131,21 @@
 	_, _ = c.conn.Write(httpwire.AppendGet(nil, ds.g.config.Discovery.String(), target))
 }
 
-func (ds *discoveryClient) connOpened(conn gnet.Conn, o *owner) ([]byte, gnet.Action) {
+func (ds *discoveryClient) connOpened(conn *eventloop.Conn, o *owner) (keep bool) {
 	c := o.call
 	if c.connNo != o.connNo || !c.dialing {
-		return nil, gnet.Close
+		return false
 	}
 	c.conn, c.dialing = conn, false
 	ds.writeRequest(c)
-	return nil, gnet.None
+	return true
 }
 
 // closeCall is the only place that releases the connection of the current call.
 func (ds *discoveryClient) closeCall(c *call) {
 	ds.g.deadlines.Remove(c.timeout)
 	if c.conn != nil {
-		_ = c.conn.Close()
+		c.conn.CloseSoon()
 	}
 	c.conn, c.timeout, c.dialing, c.awaitingResponse = nil, nil, false, false
 	c.connNo++
@@ -154,7 +153,7 @@
 
 // connClosed is called when a connection has ended or could not be opened. A response without a length is complete if the
 // connection ended with an EOF, but not after a reset.
-func (ds *discoveryClient) connClosed(o *owner, conn gnet.Conn, cleanEOF bool) {
+func (ds *discoveryClient) connClosed(o *owner, conn *eventloop.Conn, cleanEOF bool) {
 	c := o.call
 	isLate := c.lateConn != nil && c.lateConnNo == o.connNo
 	if c.connNo != o.connNo && !isLate {
@@ -198,14 +197,14 @@
 // closeLateCall is the only place that releases the connection of a call that timed out.
 func (ds *discoveryClient) closeLateCall(c *call) {
 	if c.lateConn != nil {
-		_ = c.lateConn.Close()
+		c.lateConn.CloseSoon()
 	}
 	c.lateConn, c.lateConnNo = nil, 0
 }
 
 // handleLateResponse handles a response to a call that timed out. If the next call has not started, the response counts as
 // that call's; otherwise only a newer list is used.
-func (ds *discoveryClient) handleLateResponse(conn gnet.Conn, c *call, response httpwire.Response) {
+func (ds *discoveryClient) handleLateResponse(conn *eventloop.Conn, c *call, response httpwire.Response) {
 	if !c.awaitingResponse && !c.dialing && response.Status == 200 {
 		ds.closeCall(c)
 		c.conn, c.awaitingResponse = conn, true
@@ -244,7 +243,7 @@
 }
 
 // readConn reads a response, which may have arrived in part.
-func (ds *discoveryClient) readConn(conn gnet.Conn, o *owner) {
+func (ds *discoveryClient) readConn(conn *eventloop.Conn, o *owner) {
 	c := o.call
 	isLate := c.lateConn != nil && c.lateConnNo == o.connNo
 	if !isLate && (c.connNo != o.connNo || c.conn == nil) {
@@ -278,7 +277,7 @@
 }
 
 // handleResponse handles a complete response to the current call or to the previous one.
-func (ds *discoveryClient) handleResponse(conn gnet.Conn, c *call, isLate bool, response httpwire.Response) {
+func (ds *discoveryClient) handleResponse(conn *eventloop.Conn, c *call, isLate bool, response httpwire.Response) {
 	if isLate {
 		ds.handleLateResponse(conn, c, response)
 	} else {
@@ -287,7 +286,7 @@
 }
 
 // handleCurrentResponse handles the response to the current call.
-func (ds *discoveryClient) handleCurrentResponse(conn gnet.Conn, c *call, response httpwire.Response) {
+func (ds *discoveryClient) handleCurrentResponse(conn *eventloop.Conn, c *call, response httpwire.Response) {
 	if response.Status != 200 {
 		ds.callFailed(c, fmt.Sprintf("status %d", response.Status))
 		return
@@ -297,7 +296,7 @@
 		ds.callFailed(c, "unreadable list: "+err.Error())
 		return
 	}
-	_, _ = conn.Discard(response.Size)
+	conn.Discard(response.Size)
 	ds.g.deadlines.Remove(c.timeout)
 	c.awaitingResponse, c.lastFailure = false, ""
 	if ds.g.coordination != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,14 +21,12 @@
 	"slices"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
-	gneterrors "github.com/panjf2000/gnet/v2/pkg/errors"
-
 	"magpieglade/agreement"
 	"magpieglade/contracts"
 	"magpieglade/decide"
 	"magpieglade/fleet"
 	"magpieglade/internal/deadlines"
+	"magpieglade/internal/eventloop"
 	"magpieglade/internal/neterr"
 	"magpieglade/internal/peerwire"
 	"magpieglade/internal/slots"
@@ -37,18 +35,16 @@
 
 // Gateway is one gateway. Once Run has begun, its fields are used from the event loop only.
 type Gateway struct {
-	gnet.BuiltinEventEngine
-	config    Config
-	names     platformSettings
-	log       *slog.Logger
-	logLevel  *slog.LevelVar // set by the generation in force
-	module    *decide.Gateway
-	clock     clock
-	started   chan struct{} // closed once the loop accepts posts
-	loopEnded chan struct{} // closed when the loop has ended
-	network   Network
-	listener  net.Listener
-	loop      gnet.EventLoop
+	config   Config
+	names    platformSettings
+	log      *slog.Logger
+	logLevel *slog.LevelVar // set by the generation in force
+	module   *decide.Gateway
+	clock    clock
+	started  chan struct{} // closed once the loop accepts posts
+	network  Network
+	listener net.Listener
+	loop     *eventloop.Loop // nil until the gateway serves
 
 	inputs        []input
 	dialsFailing  bool // with errors of the local machine
@@ -60,8 +56,7 @@
 	turn          uint64       // number of the current or last turn
 	lastTurnAt    decide.Nanos // when the last turn began
 	recovery      stallRecovery
-	openConns     map[gnet.Conn]struct{} // those of the loop
-	wallLead      time.Duration          // of the wall clock, as last told to the module
+	wallLead      time.Duration // of the wall clock, as last told to the module
 
 	budget          descriptorBudget
 	clients         clients
@@ -113,7 +108,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	g := &Gateway{config: c, names: n, module: module, clock: newClock(c.Elapsed), started: make(chan struct{}), loopEnded: make(chan struct{}),
+	g := &Gateway{config: c, names: n, module: module, clock: newClock(c.Elapsed), started: make(chan struct{}),
 		byID: map[uint64]slots.Ref{}, logLevel: new(slog.LevelVar), outcomes: newOutcomes()}
 	g.logLevel.Set(levelAll)
 	g.seed = seed
@@ -121,7 +116,6 @@
 		g.network = SystemNetwork{}
 	}
 	g.log = slog.New(levelHandler{cmp.Or(c.Log, slog.Default()).Handler(), g.logLevel}).With("gateway", c.Name)
-	g.openConns = map[gnet.Conn]struct{}{}
 	g.members = members{g: g, pools: map[decide.Server]*pool{}}
 	g.clients.cancelKeys = map[uint32]slots.Ref{}
 	g.clients.g, g.discovery.g, g.discovery.draining = g, g, map[decide.Server]bool{}
@@ -260,10 +254,10 @@
 
 // post runs a function on the loop in a turn of its own.
 func (g *Gateway) post(f func()) {
-	_ = g.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+	_ = g.loop.Post(func() {
 		g.handle(f)
-		return g.endIfDone()
-	}))
+		g.endIfDone()
+	})
 }
 
 // Durations of a graceful shutdown. Clients may still connect during acceptPeriod, and a request accepted in it may take as
@@ -346,12 +340,11 @@
 	}
 }
 
-// endIfDone tells gnet to end the loop once no client has been connected for reconnectGrace, or shutdownDeadline has passed.
-func (g *Gateway) endIfDone() error {
+// endIfDone ends the loop once no client has been connected for reconnectGrace, or shutdownDeadline has passed.
+func (g *Gateway) endIfDone() {
 	now := g.clock.now()
 	if g.closingClients && (g.clients.conns.Len() == 0 && now >= g.emptySince+reconnectGrace || now >= g.shutdownDeadline) {
 		g.loopStopped = true
-		return gneterrors.ErrEngineShutdown
+		g.loop.Stop()
 	}
-	return nil
 }
--- a/gateway/held_test.go
+++ b/gateway/held_test.go
@@ -630,7 +630,7 @@
 			if closedBy == "the member" {
 				_ = conn.CloseWrite()
 				awaitUnread(t, m.conn.Fd())
-				_ = g.loop.Close(m.conn) // as the library does when it reads the end of stream
+				m.conn.Close() // as the loop does when it reads the end of stream
 			} else {
 				g.members.cancelJob(ref, decide.Cancelled)
 			}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -2,26 +2,23 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
-	"log/slog"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
 	"magpieglade/decide"
+	"magpieglade/internal/eventloop"
 	"magpieglade/internal/slots"
 )
 
-// owner is the context of a gnet connection: what the connection belongs to.
+// owner is the context of a connection of the loop: what the connection belongs to.
 type owner struct {
 	kind          ownerKind
 	ref           slots.Ref // of a client or of a connection to a member
 	call          *call
 	connNo        uint64 // of a discovery connection: see call.connNo
 	hasDescriptor bool   // holds a descriptor of the budget
-	opened        bool   // the loop has opened the connection
 	// Of a client whose connection had to wait to be accepted: it connected no earlier. 0 for any other.
 	connectedAfter decide.Nanos
 }
@@ -29,8 +26,7 @@
 type ownerKind int
 
 const (
-	ownerLoopHandle ownerKind = iota // provides the handle on the loop; its close reports that the loop has ended
-	ownerClient
+	ownerClient ownerKind = iota
 	ownerMember
 	ownerDiscovery
 )
@@ -296,16 +292,29 @@
 	}
 }
 
-// OnOpen hands a connection to its owner.
-func (g *Gateway) OnOpen(c gnet.Conn) (out []byte, action gnet.Action) {
-	g.handle(func() { out, action = g.connOpened(c) })
-	return out, action
+// begin starts what needs the loop, as the loop's first task.
+func (g *Gateway) begin() {
+	close(g.started)
+	g.scheduleHeartbeat()
+	g.discovery.queueCachedList()
+	if g.peerLink != nil {
+		go g.peerLink.Receive(func() { g.post(g.receiveDatagrams) })
+	}
+	if g.sessions != nil {
+		g.sessions.Started()
+	}
+	g.generations.applyStartConfig(g.config.Change)
+	go g.acceptClients()
 }
 
-func (g *Gateway) connOpened(c gnet.Conn) (out []byte, action gnet.Action) {
+// Opened hands a connection to its owner.
+func (g *Gateway) Opened(c *eventloop.Conn) (out []byte, keep bool) {
+	g.handle(func() { out, keep = g.connOpened(c) })
+	return out, keep
+}
+
+func (g *Gateway) connOpened(c *eventloop.Conn) (out []byte, keep bool) {
 	o := c.Context().(*owner)
-	o.opened = true
-	g.openConns[c] = struct{}{}
 	g.recovery.events++
 	if o.hasDescriptor && g.dialsFailing {
 		g.dialsFailing = false
@@ -313,49 +322,28 @@
 	}
 	switch o.kind {
 	case ownerClient:
-		return g.clients.clientOpened(c, o)
-	case ownerLoopHandle:
-		g.loop = c.EventLoop()
-		close(g.started)
-		g.scheduleHeartbeat()
-		g.discovery.queueCachedList()
-		if g.peerLink != nil {
-			go g.peerLink.Receive(func() { g.post(g.receiveDatagrams) })
-		}
-		if g.sessions != nil {
-			g.sessions.Started()
-		}
-		g.generations.applyStartConfig(g.config.Change)
-		go g.acceptClients()
-		return nil, gnet.None
+		return nil, g.clients.clientOpened(c, o)
 	case ownerMember:
 		g.budget.release(1)
 		return g.members.memberOpened(c, o.ref)
 	case ownerDiscovery:
 		g.budget.release(1)
-		return g.discovery.connOpened(c, o)
+		return nil, g.discovery.connOpened(c, o)
 	}
-	return nil, gnet.Close
+	return nil, false
 }
 
-// OnTraffic handles received data. Connections to members are closed by posting, as the turn may still report on them; clients are
+// Received handles received data. Connections to members are closed by posting, as the turn may still report on them; clients are
 // closed immediately, see closeUnlessUnread. Events for a closed connection find its object and not its descriptor, which may be reused.
-func (g *Gateway) OnTraffic(c gnet.Conn) gnet.Action {
-	o, ok := c.Context().(*owner)
-	if !ok {
-		return gnet.Close
-	}
+func (g *Gateway) Received(c *eventloop.Conn) {
+	o := c.Context().(*owner)
 	g.handle(func() { g.readConn(c, o) })
-	if g.endIfDone() != nil {
-		return gnet.Shutdown
-	}
-	return gnet.None
+	g.endIfDone()
 }
 
 // readConn passes received data to the owner of the connection.
-func (g *Gateway) readConn(c gnet.Conn, o *owner) {
+func (g *Gateway) readConn(c *eventloop.Conn, o *owner) {
 	g.recovery.events++
-	g.recovery.hasRead = true
 	switch o.kind {
 	case ownerClient:
 		g.clients.dateInput(o)
@@ -367,36 +355,25 @@
 	}
 }
 
-// OnClose is called when a connection has ended, whichever side closed it, and possibly within a write to it.
-func (g *Gateway) OnClose(c gnet.Conn, err error) gnet.Action {
-	o, ok := c.Context().(*owner)
-	if !ok {
-		return gnet.None
-	}
+// Closed is called when a connection has ended, whichever side closed it, and possibly within a write to it.
+func (g *Gateway) Closed(c *eventloop.Conn, err error) {
+	o := c.Context().(*owner)
 	g.handle(func() { g.connClosed(c, o, err) })
-	if g.endIfDone() != nil {
-		return gnet.Shutdown
-	}
-	return gnet.None
+	g.endIfDone()
 }
 
 // connClosed releases what a connection held.
-func (g *Gateway) connClosed(c gnet.Conn, o *owner, err error) {
-	delete(g.openConns, c)
+func (g *Gateway) connClosed(c *eventloop.Conn, o *owner, err error) {
 	g.recovery.events++
 	if o.hasDescriptor {
 		g.budget.release(1)
 	}
 	switch o.kind {
-	case ownerLoopHandle: // the loop closes it as its last act
-		close(g.loopEnded)
 	case ownerClient:
 		g.clients.clientClosed(o.ref, err)
 	case ownerMember:
 		flushed := c.OutboundBuffered() == 0
-		if !flushed { // gnet would write the rest before it closes, and a query that counts as never executed would be executed
-			_ = unix.Shutdown(c.Fd(), unix.SHUT_WR)
-		}
+		c.DropOutput() // a query that counts as never executed may not be sent in full
 		g.members.memberClosed(o.ref, flushed)
 	case ownerDiscovery:
 		g.discovery.connClosed(o, c, errors.Is(err, io.EOF))
@@ -419,16 +396,3 @@
 		}
 	}
 }
-
-// gnetLog passes warnings and errors of gnet to slog; its other messages are too many and are dropped.
-type gnetLog struct{ logger *slog.Logger }
-
-func (l gnetLog) Debugf(string, ...any)         {}
-func (l gnetLog) Infof(string, ...any)          {}
-func (l gnetLog) Warnf(format string, a ...any) { l.logger.Warn("gnet: " + fmt.Sprintf(format, a...)) }
-func (l gnetLog) Errorf(format string, a ...any) {
-	l.logger.Error("gnet: " + fmt.Sprintf(format, a...))
-}
-func (l gnetLog) Fatalf(format string, a ...any) {
-	l.logger.Error("gnet, fatal: " + fmt.Sprintf(format, a...))
-}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -5,10 +5,9 @@
 	"net/netip"
 	"slices"
 
-	"github.com/panjf2000/gnet/v2"
-
 	"magpieglade/decide"
 	"magpieglade/internal/deadlines"
+	"magpieglade/internal/eventloop"
 	"magpieglade/internal/pgwire"
 	"magpieglade/internal/slots"
 )
@@ -49,7 +48,7 @@
 // memberConn is a connection to a member; release removes it.
 type memberConn struct {
 	server          decide.Server
-	conn            gnet.Conn // nil while dialling
+	conn            *eventloop.Conn // nil while dialling
 	phase           phase
 	job             job
 	hasJob          bool
@@ -166,7 +165,7 @@
 	}
 	conn := ms.conns.Get(oldest).conn
 	ms.release(oldest)
-	_ = ms.g.loop.Close(conn) // immediately, as its descriptor is needed
+	conn.Close() // immediately, as its descriptor is needed
 	return true
 }
 
@@ -227,14 +226,14 @@
 	return s
 }
 
-func (ms *members) memberOpened(c gnet.Conn, ref slots.Ref) ([]byte, gnet.Action) {
+func (ms *members) memberOpened(c *eventloop.Conn, ref slots.Ref) (startup []byte, keep bool) {
 	m := ms.conns.Get(ref)
 	if m == nil || m.abandoned {
 		ms.release(ref)
-		return nil, gnet.Close
+		return nil, false
 	}
 	m.conn, m.phase = c, starting
-	return pgwire.AppendStartup(nil, "portal", "crm"), gnet.None
+	return pgwire.AppendStartup(nil, "portal", "crm"), true
 }
 
 // release is the one place where a member connection is removed.
@@ -254,7 +253,7 @@
 		delete(ms.pools, m.server)
 	}
 	if m.conn != nil {
-		_ = m.conn.Close()
+		m.conn.CloseSoon()
 	}
 	ms.conns.Remove(ref)
 }
@@ -301,7 +300,7 @@
 	// Immediately, before the next turn: a submission sent elsewhere instead would be a second copy beside an open one.
 	conn := m.conn
 	ms.release(ref)
-	_ = ms.g.loop.Close(conn)
+	conn.Close()
 }
 
 func (ms *members) submissionTimedOut(ref slots.Ref) {
@@ -436,7 +435,6 @@
 		if m == nil {
 			return
 		}
-		// The buffer is not read until a message is complete: joining the two halves of a wrapped ring buffer costs a copy.
 		buffered := m.conn.InboundBuffered()
 		if buffered < m.bytesNeeded {
 			ms.receivePartial(ref, m, buffered)
@@ -468,7 +466,7 @@
 		answering := m.phase == busy && !a.complete && a.errorResponse.Code == ""
 		switch {
 		case m.phase == idle && (kind == 'S' || kind == 'N'):
-			_, _ = m.conn.Discard(size)
+			m.conn.Discard(size)
 			a.readBytes = 0
 		case kind == 'S':
 			ok = ms.readParameter(a, body)
@@ -618,7 +616,7 @@
 	case starting:
 		ms.g.deadlines.Remove(m.connectDeadline)
 		m.connectDeadline = nil
-		_, _ = m.conn.Discard(a.readBytes)
+		m.conn.Discard(a.readBytes)
 		a.readBytes = 0
 		if m.conn.InboundBuffered() > 0 {
 			return false
@@ -673,7 +671,7 @@
 	ms.finishJob(ref, r, true)
 	ms.bufferedBytes -= m.bufferedBytes
 	m.bufferedBytes = 0
-	_, _ = m.conn.Discard(a.readBytes)
+	m.conn.Discard(a.readBytes)
 	*a = response{ranges: a.ranges[:0]}
 	if m.conn.InboundBuffered() > 0 {
 		ms.release(ref) // unexpected input after the response
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -15,13 +15,12 @@
 // before deadlines are handled and anything is decided or sent, and dates queries by their arrival.
 
 const (
-	heartbeatInterval = 50 * decide.Millisecond   // between deadlines of the loop that serve to notice a stall
-	stallThreshold    = 25 * decide.Millisecond   // lateness of the earliest deadline that counts as a stall
-	recoveryRound     = 1 * decide.Millisecond    // for the loop to read what is pending
-	quietRounds       = 2                         // rounds in a row without events that end a recovery
-	maxRecoveryTime   = 20 * decide.Millisecond   // of a recovery during which events keep coming
-	maxUnreadTime     = 1000 * decide.Millisecond // of a recovery in which the loop does not come to reading
-	maxRestarts       = 3                         // of a recovery by further stalls: a starved process has to go on
+	heartbeatInterval = 50 * decide.Millisecond // between deadlines of the loop that serve to notice a stall
+	stallThreshold    = 25 * decide.Millisecond // lateness of the earliest deadline that counts as a stall
+	recoveryRound     = 1 * decide.Millisecond  // for the loop to read what is pending
+	quietRounds       = 2                       // rounds in a row without events that end a recovery
+	maxRecoveryTime   = 20 * decide.Millisecond // of a recovery during which events keep coming
+	maxRestarts       = 3                       // of a recovery by further stalls: a starved process has to go on
 	// Age of a query from which its client may have left unnoticed, so that the connection is looked at before it is sent.
 	uncheckedQueryAge = 20 * decide.Millisecond
 )
@@ -29,10 +28,8 @@
 // stallRecovery is the state of the recovery from a stall. Only the event loop may use it.
 type stallRecovery struct {
 	active      bool
-	begunAt     decide.Nanos
-	startedAt   decide.Nanos // later than begunAt if the time limit has been started again
+	startedAt   decide.Nanos
 	stalledFrom decide.Nanos // what the loop finds unread arrived no earlier
-	hasRead     bool         // the loop has read from a connection since the stall; tasks open and close some too
 	events      int          // connections opened, read and closed since the last round
 	quietRounds int          // rounds in a row without any
 	restarts    int          // by stalls during the recovery
@@ -48,29 +45,24 @@
 	}
 	if r := &g.recovery; r.active {
 		if r.restarts++; r.restarts <= maxRestarts {
-			r.startedAt, r.events, r.quietRounds, r.hasRead = now, 0, 0, false
+			r.startedAt, r.events, r.quietRounds = now, 0, 0
 			g.setTimerTo(int64(now + recoveryRound))
 		}
 		return
 	}
 	g.outcomes.stalls++
-	g.recovery = stallRecovery{active: true, begunAt: now, startedAt: now, stalledFrom: g.lastTurnAt, heldQueries: g.recovery.heldQueries[:0]}
+	g.recovery = stallRecovery{active: true, startedAt: now, stalledFrom: g.lastTurnAt, heldQueries: g.recovery.heldQueries[:0]}
 	g.setTimerTo(int64(now + recoveryRound))
 }
 
 // continueRecovery ends a round of the recovery. It returns false if another one follows. A round is a task of the loop, which
-// runs all tasks that wait before it reads: no recovery ends by rounds between which nothing could be read.
+// reads between two of them.
 func (g *Gateway) continueRecovery() (done bool) {
 	r := &g.recovery
 	now := g.clock.now()
 	switch {
 	case r.events > 0:
 		r.quietRounds = 0
-	case !r.hasRead && g.hasUnreadInput():
-		r.quietRounds = 0
-		if now-r.begunAt < maxUnreadTime {
-			r.startedAt = now
-		}
 	case g.hasPendingClients():
 		r.quietRounds = 0
 	default:
@@ -85,16 +77,6 @@
 	return true
 }
 
-// hasUnreadInput reports whether a connection of the loop has input, or its end, that the loop has not read.
-func (g *Gateway) hasUnreadInput() bool {
-	descriptors := make([]unix.PollFd, 0, len(g.openConns))
-	for c := range g.openConns {
-		descriptors = append(descriptors, unix.PollFd{Fd: int32(c.Fd()), Events: unix.POLLIN})
-	}
-	n, err := unix.Poll(descriptors, 0)
-	return err == unix.EINTR || err == nil && n > 0 // if interrupted, it is not known: the next round will tell
-}
-
 // hasPendingClients reports whether connections wait to be accepted.
 func (g *Gateway) hasPendingClients() (pending bool) {
 	l, ok := g.listener.(interface {
--- a/internal/neterr/neterr.go
+++ b/internal/neterr/neterr.go
@@ -11,13 +11,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// ErrNotRegistered reports that the kernel refused to add a connection to the event loop's epoll set.
-var ErrNotRegistered = errors.New("the event loop could not register the connection")
-
 // localErrors are errors of socket, bind, connect, dup, epoll_ctl, open and read whose cause is on this machine: it lacks
 // descriptors, memory, ports or a route, its disk fails, or it forbids the call. They may pass at any moment.
 var localErrors = []error{
-	ErrNotRegistered,
 	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ENOSPC,
 	syscall.EADDRNOTAVAIL, syscall.EADDRINUSE, syscall.EAGAIN,
 	syscall.ENETUNREACH, syscall.ENETDOWN,
@@ -49,8 +45,6 @@
 		return unix.ErrnoName(errno)
 	case errors.As(err, &netError) && netError.Timeout():
 		return "timeout"
-	case errors.Is(err, ErrNotRegistered):
-		return "not registered"
 	}
 	return "other"
 }
