Stop reading from clients that wait, and decide their shares in a module

Change: nothing more is read from a client with 16 KiB behind the message that it waits with (updateReading); what lies in the socket meanwhile counts from when it came there (recordBacklog). pacing/ decides how much of a client is processed in a turn and how long it pauses, for messages that execute nothing like for queries.

--- a/gateway/arrivals.go
+++ b/gateway/arrivals.go
@@ -40,10 +40,27 @@
 	case c == nil || c.stage == stageClosing:
 	case cs.g.recovery.active:
 		c.recordUnreadArrival(cs.g.recovery.stalledFrom, now)
-		cs.limitInput(o.ref, c)
+		if cs.limitInput(o.ref, c) {
+			cs.updateReading(c)
+		}
 	case o.connectedAfter > 0:
 		c.recordUnreadArrival(o.connectedAfter, now)
 		o.connectedAfter = 0
+	case c.unreadSince > 0:
+		c.recordBacklog(now)
+	}
+}
+
+// recordBacklog dates what a client sent while reading from it was stopped, read or not. What comes later came after now.
+func (c *client) recordBacklog(now decide.Nanos) {
+	earliest, unread := c.unreadSince, c.conn.Unread()
+	c.unreadSince = 0
+	switch {
+	case unread == 0:
+		c.recordUnreadArrival(earliest, now)
+	case c.dropped == nil:
+		c.recordArrival(c.unprocessed()+unread, earliest)
+		c.unreadSince = now
 	}
 }
 
--- a/gateway/clientinput.go
+++ b/gateway/clientinput.go
@@ -63,6 +63,39 @@
 	return 1 << bits.Len(uint(size-1))
 }
 
+// updateReading stops reading from a client that has sent much behind the message that it waits with, so that its own system
+// keeps the rest, and resumes it once that has been processed.
+func (cs *clients) updateReading(c *client) {
+	stop := c.stage != stageClosing && (c.readAhead() > maxReadAhead || c.dropped != nil && len(c.dropped.unanswered) > maxUnansweredRuns)
+	switch {
+	case stop && !c.conn.ReadingStopped():
+		c.unreadSince = cs.g.clock.now()
+		c.conn.StopReading()
+	case !stop:
+		cs.resumeReading(c)
+	}
+}
+
+// resumeReading resumes reading from a client if it was stopped.
+func (cs *clients) resumeReading(c *client) {
+	if c.conn.ReadingStopped() {
+		c.conn.ResumeReading()
+	}
+}
+
+// readAhead returns how many bytes a client has sent behind the first message of its input, 0 if that is not whole.
+func (c *client) readAhead() int {
+	waiting := c.unprocessed()
+	if waiting <= maxReadAhead || !c.admitted {
+		return 0
+	}
+	first, err := c.peek(pgwire.HeaderSize)
+	if err != nil {
+		return 0
+	}
+	return waiting - pgwire.MessageSize(first)
+}
+
 // limitInput counts a client's buffers and drops the input that is beyond its share of the memory. It returns false if the
 // connection ends by it.
 func (cs *clients) limitInput(ref slots.Ref, c *client) bool {
@@ -165,7 +198,7 @@
 			return false
 		default:
 			out := c.appendRunAnswers(cs.g.scratch[:0], run)
-			c.turnControlBytes += len(out)
+			cs.pacer.CountControl(&c.pace, len(out))
 			cs.writeClient(c, out)
 		}
 		if run.count == 0 {
--- a/gateway/clientmessages.go
+++ b/gateway/clientmessages.go
@@ -8,8 +8,17 @@
 	"magpieglade/routes"
 )
 
-// readClient processes what a client sent, up to its next txn: further queries stay in the buffer.
+// readClient processes what a client sent, up to its next txn: further queries stay in the buffer, and what is beyond a read
+// behind that query stays in the socket.
 func (cs *clients) readClient(ref slots.Ref) {
+	cs.processInput(ref)
+	if c := cs.conns.Get(ref); c != nil {
+		cs.updateReading(c)
+	}
+}
+
+// processInput processes messages of a client until one has to wait.
+func (cs *clients) processInput(ref slots.Ref) {
 	for {
 		c := cs.conns.Get(ref)
 		if c == nil {
--- a/gateway/clientpace.go
+++ b/gateway/clientpace.go
@@ -1,24 +1,8 @@
 package gateway
 
 import (
-	"magpieglade/decide"
 	"magpieglade/internal/slots"
-)
-
-// How fast a client's queries are processed. What needs no member is answered at once, so a client that sends such queries at
-// full speed would have the event loop for itself: after some that are answered at once, as by a rejection, it pauses.
-
-const (
-	maxQueriesPerTurn = 16                     // of one client
-	pausePerClient    = 1 * decide.Millisecond // of a client with more queries, for each client that pauses
-)
-
-// pauseReason is what a client that has to wait for other clients had sent much of.
-type pauseReason string
-
-const (
-	pausedForQueries         pauseReason = "queries"
-	pausedForControlMessages pauseReason = "control messages"
+	"magpieglade/pacing"
 )
 
 // mayProcess reports whether another query of a client may be processed now. If not, the client pauses and is read again
@@ -27,20 +11,29 @@
 	if c.stage == stagePaused {
 		return false
 	}
-	cs.countTurn(c)
-	if c.turnQueries++; c.turnQueries <= maxQueriesPerTurn {
+	cs.pacer.BeginTurn(cs.g.turn)
+	if cs.pacer.MayProcessQuery(&c.pace) {
 		return true
 	}
-	cs.g.outcomes.clientPauses[pausedForQueries]++
-	cs.enterStage(ref, c, stagePaused)
+	cs.pause(ref, c, pacing.Queries)
 	return false
 }
 
-// countTurn begins to count anew what is processed of a client if this is another turn.
-func (cs *clients) countTurn(c *client) {
-	if c.turn != cs.g.turn {
-		c.turn, c.turnQueries, c.turnControlBytes = cs.g.turn, 0, 0
+// mayAnswerControl reports whether more control messages of a client may be answered in this turn. If not, the client is read
+// again after a pause.
+func (cs *clients) mayAnswerControl(ref slots.Ref, c *client) bool {
+	cs.pacer.BeginTurn(cs.g.turn)
+	if cs.pacer.MayAnswerControl(&c.pace) {
+		return true
 	}
+	cs.pause(ref, c, pacing.ControlMessages)
+	return false
+}
+
+// pause has a client wait for the others.
+func (cs *clients) pause(ref slots.Ref, c *client, reason pacing.Reason) {
+	cs.g.outcomes.clientPauses[reason]++
+	cs.enterStage(ref, c, stagePaused)
 }
 
 // resume has a client that paused read again.
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -14,18 +14,21 @@
 	"magpieglade/internal/eventloop"
 	"magpieglade/internal/pgwire"
 	"magpieglade/internal/slots"
+	"magpieglade/pacing"
 )
 
 // Limits on messages and buffers.
 const (
-	maxMessageSize           = 192 << 10 // bytes: a value of 64 KiB in hexadecimal and its statement
-	clientInputMemoryDivisor = 16        // one client's unprocessed input may fill 1/16 of the memory limit
-	bufferMemoryDivisor      = 4         // all clients' buffers may fill 1/4 of the memory limit
-	guaranteedBufferSize     = 32 << 10  // bytes that a client may hold even when those buffers are full, if there is room for all clients
-	maxDiscardedBytes        = 256 << 10 // bytes read from a client while it is being closed
-	maxDroppedMessages       = 4096      // messages dropped for lack of memory that one client may be owed responses to; of others than queries, equal ones in a row count once
-	maxEncryptionRequests    = 8         // of one client, which has no use for more than one of each kind
-	maxConsecutiveErrors     = 8         // invalid statements in a row, after which a client is disconnected
+	maxMessageSize           = 192 << 10      // bytes: a value of 64 KiB in hexadecimal and its statement
+	clientInputMemoryDivisor = 16             // one client's unprocessed input may fill 1/16 of the memory limit
+	bufferMemoryDivisor      = 4              // all clients' buffers may fill 1/4 of the memory limit
+	guaranteedBufferSize     = 32 << 10       // bytes that a client may hold even when those buffers are full, if there is room for all clients
+	maxDiscardedBytes        = 256 << 10      // bytes read from a client while it is being closed
+	maxDroppedMessages       = 4096           // messages dropped for lack of memory that one client may be owed responses to; of others than queries, equal ones in a row count once
+	maxUnansweredRuns        = 512            // dropped messages, counted in the same way, from which on nothing more is read from a client
+	maxReadAhead             = readBufferSize // bytes behind the message that a client waits with, from which on nothing more is read from it
+	maxEncryptionRequests    = 8              // of one client, which has no use for more than one of each kind
+	maxConsecutiveErrors     = 8              // invalid statements in a row, after which a client is disconnected
 )
 
 // Descriptors: how many are kept free, and from how many connections on idle clients are closed earlier.
@@ -58,7 +61,7 @@
 	stageInTxn                           // a txn is open, which the decision module ends
 	stageIdle                            // has sent a query before, and nothing is unread
 	stageUnreadOutput                    // has not read its responses yet
-	stagePaused                          // has sent more queries than are processed at once
+	stagePaused                          // has sent more than its share of a turn
 	stageClosing                         // is sent nothing more; what it sends is discarded
 )
 
@@ -66,9 +69,9 @@
 type clients struct {
 	g             *Gateway
 	conns         slots.Table[client]
-	idleLists     [2]list.List         // silent clients, longest silent first: those that never sent a query, and the others
-	bufferedBytes int                  // bytes in their buffers, as last counted
-	paused        int                  // clients in stagePaused
+	idleLists     [2]list.List // silent clients, longest silent first: those that never sent a query, and the others
+	bufferedBytes int          // bytes in their buffers, as last counted
+	pacer         pacing.Pacer
 	rejecting     int                  // clients without a descriptor that are being sent an error
 	atCapacity    bool                 // new clients are turned away
 	cancelKeys    map[uint32]slots.Ref // admitted clients, by the process number of their cancel key
@@ -84,17 +87,15 @@
 	openedAt               decide.Nanos
 	user                   string
 	database               string
-	tenant                 int32     // number, in the generation in force, of the tenant whose connections it counts against, plus one
-	admitted               bool      // its startup message was accepted
-	hasQueried             bool      // has sent a valid query
-	hasDescriptor          bool      // has a descriptor of the budget; a client without one is turned away
-	skippingToSync         bool      // ignores messages up to Sync, after an error in the extended protocol
-	consecutiveErrors      int       // invalid statements in a row
-	bufferedBytes          int       // bytes in its buffers, as last counted
-	discardedBytes         int       // bytes read from it since stageClosing began
-	turn                   uint64    // number of the turn in which its queries were last processed
-	turnQueries            int       // queries processed in that turn
-	turnControlBytes       int       // control messages processed in that turn
+	tenant                 int32 // number, in the generation in force, of the tenant whose connections it counts against, plus one
+	admitted               bool  // its startup message was accepted
+	hasQueried             bool  // has sent a valid query
+	hasDescriptor          bool  // has a descriptor of the budget; a client without one is turned away
+	skippingToSync         bool  // ignores messages up to Sync, after an error in the extended protocol
+	consecutiveErrors      int   // invalid statements in a row
+	bufferedBytes          int   // bytes in its buffers, as last counted
+	discardedBytes         int   // bytes read from it since stageClosing began
+	pace                   pacing.Client
 	encryptionRequests     int       // received before its startup message
 	pollScheduled          bool      // a timerReadable deadline is pending for it
 	txn                    slots.Ref // the open txn; its query is the first in the connection's buffer
@@ -104,6 +105,7 @@
 	cancelKey              pgwire.CancelKey
 	consumedBytes          int64         // input bytes already processed
 	arrivals               []arrival     // arrival times of the bytes after those, oldest first
+	unreadSince            decide.Nanos  // bytes without an arrival time came no earlier; 0 if all that came was read at once
 	setAside               []messageRun  // control messages that are answered once it has read the answers before, ahead of its input
 	dropped                *droppedInput // what it sent beyond its share of the memory, nil while nothing of that is unanswered
 	fatalError             *fatalError   // to be sent once all that was read before it is answered, nil for none
@@ -160,9 +162,9 @@
 	case stageUnreadOutput:
 		end += responseReadTimeout
 	case stagePaused:
-		cs.paused++
-		end += pausePerClient * decide.Nanos(cs.paused)
+		end += decide.Nanos(cs.pacer.Pause(&c.pace))
 	case stageClosing:
+		cs.resumeReading(c)
 		end += lingerTimeout
 	case stageInTxn:
 		return
@@ -173,9 +175,7 @@
 func (cs *clients) leaveStage(c *client) {
 	cs.g.deadlines.Remove(c.deadline)
 	c.deadline = nil
-	if c.stage == stagePaused {
-		cs.paused--
-	}
+	cs.pacer.Resume(&c.pace)
 	if c.idleElement != nil {
 		cs.idleLists[0].Remove(c.idleElement) // it is in one of the two lists
 		cs.idleLists[1].Remove(c.idleElement)
--- a/gateway/controlmessages.go
+++ b/gateway/controlmessages.go
@@ -11,10 +11,8 @@
 // served, and function calls. Pools send them to check a connection before each use. All that one read has brought are answered
 // with one write, so that a client that sends them at full speed costs the event loop little between two reads of the others.
 
-const (
-	maxControlAnswer       = 64 << 10           // bytes of answers to control messages that are written at once
-	maxControlBytesPerTurn = 2 * readBufferSize // of one client, sent or answered: more than one read brings, so that what has piled up becomes less
-)
+// maxControlAnswer is how many bytes of answers to control messages are written at once.
+const maxControlAnswer = 64 << 10
 
 // answerControlMessages answers the control messages at the beginning of a client's input, of which the first has the given
 // size, and returns their total size; 0 if they have to wait for the next turn. A message of an unknown kind ends the connection.
@@ -39,26 +37,12 @@
 		cs.closeForUnknownMessage(ref, input[0])
 		return 0
 	}
-	c.turnControlBytes += size
+	cs.pacer.CountControl(&c.pace, size)
 	cs.endStage(c) // the time for a message to arrive begins anew with the next one
 	cs.writeClient(c, out)
 	return size
 }
 
-// mayAnswerControl reports whether more control messages of a client may be answered in this turn. If not, the client is read
-// again after a pause.
-func (cs *clients) mayAnswerControl(ref slots.Ref, c *client) bool {
-	cs.countTurn(c)
-	if c.turnControlBytes < maxControlBytesPerTurn {
-		return true
-	}
-	cs.g.outcomes.clientPauses[pausedForControlMessages]++
-	cs.endStage(c)
-	cs.enterStage(ref, c, stageUnreadOutput)
-	cs.pollIn(ref, c, pausePerClient)
-	return false
-}
-
 // setAsideControlMessages takes the control messages at the beginning of the input of a client that has not read its answers. Of
 // each only the kind is kept, so that a client which goes on sending takes no memory by it.
 func (cs *clients) setAsideControlMessages(c *client) {
@@ -97,7 +81,7 @@
 			c.setAside = c.setAside[1:]
 		}
 	}
-	c.turnControlBytes += len(out)
+	cs.pacer.CountControl(&c.pace, len(out))
 	cs.endStage(c) // the time to read the answers begins anew
 	cs.writeClient(c, out)
 	return true
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"magpieglade/decide"
+	"magpieglade/pacing"
 )
 
 // closeReason is why a client's connection was closed. Logs and metrics use it as a label.
@@ -55,7 +56,7 @@
 	readsWithheld  uint64
 	queriesDropped uint64
 	stalls         uint64
-	clientPauses   map[pauseReason]uint64
+	clientPauses   map[pacing.Reason]uint64
 }
 
 func newOutcomes() outcomes {
@@ -66,7 +67,7 @@
 		readsSent:     map[decide.Proof]uint64{},
 		acceptErrors:  map[string]uint64{},
 		dialErrors:    map[string]uint64{},
-		clientPauses:  map[pauseReason]uint64{},
+		clientPauses:  map[pacing.Reason]uint64{},
 	}
 }
 
