Read on until the next message of a waiting client may be whole

Cause: with 16 KiB read behind an open query, the rest of a large next query was read only once it was its turn, a read of 16 KiB a poll.

Change: the limit is the longest message, 192 KiB.

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -26,7 +26,7 @@
 	maxDiscardedBytes        = 256 << 10      // bytes read from a client while it is being closed
 	maxDroppedMessages       = 4096           // messages dropped for lack of memory that one client may be owed responses to; of others than queries, equal ones in a row count once
 	maxUnansweredRuns        = 512            // dropped messages, counted in the same way, from which on nothing more is read from a client
-	maxReadAhead             = readBufferSize // bytes behind the message that a client waits with, from which on nothing more is read from it
+	maxReadAhead             = maxMessageSize // bytes behind the message that a client waits with, from which on nothing more is read from it: the next one may be whole
 	maxEncryptionRequests    = 8              // of one client, which has no use for more than one of each kind
 	maxConsecutiveErrors     = 8              // invalid statements in a row, after which a client is disconnected
 )
