TestMemoryOfManyUnfinishedRequests: the steady client sends a query first

It had sent nothing when 600 other clients connected; if that takes over 100 ms, a client without a query is closed for its descriptor, as it should be.

Change: the steady client sends a query before the others connect, as in TestFloodsOfSmallMessages. What is asked stays the same.

--- a/gateway/unfinished_test.go
+++ b/gateway/unfinished_test.go
@@ -69,6 +69,7 @@
 			w := startGatewayWithMemory(memoryMB, sockets, newMember("m", "read-write"), newMember("r", "read-only"))
 			defer w.stop()
 			steady := w.connect()
+			execute(steady, txnSQL("any", "")) // or it may be closed as one that has sent no query, if connecting the others takes long
 			for range clients {
 				c, err := net.Dial("tcp4", w.address)
 				if err != nil {
